--- /dev/null
+++ b/src/base/codec.h
@@ -0,0 +1,52 @@
+#ifndef ARBUTUS_BASE_CODEC_H
+#define ARBUTUS_BASE_CODEC_H
+
+#include "base/name_table.h"
+#include "base/result.h"
+#include <msgpack.hpp>
+
+#include <exception>
+#include <string>
+#include <string_view>
+
+namespace arbutus {
+
+enum class codec_error { Malformed, TrailingBytes };
+
+template <> struct name_table<codec_error> {
+  static constexpr name_row<codec_error> Rows[] = {
+      {codec_error::Malformed, "malformed"},
+      {codec_error::TrailingBytes, "trailing_bytes"},
+  };
+};
+
+/// Serializes a type that has MSGPACK_DEFINE.
+template <class T> [[nodiscard]] std::string encode(const T &Value) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Value);
+  return {Buffer.data(), Buffer.size()};
+}
+
+/// Reads one value that fills the input exactly. Never throws on bad input;
+/// container sizes are bounded by the input's length, so that a forged length
+/// cannot exhaust memory.
+template <class T>
+[[nodiscard]] result<T, codec_error> decode(std::string_view Bytes) {
+  try {
+    const auto Most = Bytes.size();
+    const msgpack::unpack_limit Limit(Most, Most, Most, Most, Most, 32);
+    std::size_t Offset = 0;
+    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size(), Offset,
+                                        nullptr, nullptr, Limit);
+    if (Offset != Bytes.size()) {
+      return codec_error::TrailingBytes;
+    }
+    return Handle.get().as<T>();
+  } catch (const std::exception &) {
+    return codec_error::Malformed;
+  }
+}
+
+} // namespace arbutus
+
+#endif
