--- /dev/null
+++ b/src/pool/credit_account.h
@@ -0,0 +1,224 @@
+#ifndef ARBUTUS_POOL_CREDIT_ACCOUNT_H
+#define ARBUTUS_POOL_CREDIT_ACCOUNT_H
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/name_table.h"
+#include "base/result.h"
+#include "pool/fair_queue.h"
+#include "pool/messages.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace arbutus::pool {
+
+enum class request_outcome {
+  Ok,
+  Overloaded,
+  Failed,
+  ConnectFailed,
+  Cancelled,
+  TimedOut
+};
+
+/// A request that waits for a slot.
+struct pending_request {
+  std::uint64_t RequestId = 0;
+  team_id Team{};
+  double EstimatedCost = 1;
+  std::optional<upstream_id> Preferred;
+  std::vector<upstream_id> Excluded;
+  instant Deadline;
+};
+
+/// Tells the caller to send a request to an upstream now.
+struct dispatch {
+  std::uint64_t RequestId = 0;
+  upstream_id Upstream{};
+};
+
+enum class admission_code {
+  TeamQueueFull,
+  DuplicateRequest,
+  DeadlinePassed,
+  LeaseEnded
+};
+
+struct admission_error {
+  admission_code Code{};
+  std::uint32_t Waiting = 0;
+};
+
+struct account_options {
+  /// Requests of one team that may wait at this router.
+  std::uint32_t TeamQueueLimit = 256;
+  /// Most frequent reporting; it batches changes of one burst.
+  duration BatchWindow = 1ms;
+  /// Least frequent reporting.
+  duration ReportInterval = 100ms;
+  /// Delay after which applied entries are acknowledged even if nothing else
+  /// is to be reported; below the grantor's time for resending.
+  duration AckDelay = 20ms;
+  /// Time without an answer after which freed slots are kept for the local
+  /// queue, because the grantor is lost or cut off.
+  duration GrantorSilence = 200ms;
+};
+
+/// Router side of one pool: idle credits, requests in flight, a queue per team,
+/// the epoch and the lease. Callers hold a lock.
+class credit_account {
+public:
+  credit_account(pool_id Pool, incarnation Incarnation,
+                 account_options Options = {});
+
+  /// Queues a request, or dispatches it at once if an idle credit fits.
+  /// Fails when the team's queue is full, the id is in use or the deadline has
+  /// passed, or when the lease has ended.
+  [[nodiscard]] result<std::optional<dispatch>, admission_error>
+  enqueue(pending_request Request, instant Now);
+
+  /// Removes a waiting request. Returns false if it does not wait; one in
+  /// flight ends with `complete(..., Cancelled, ...)`.
+  bool cancel(std::uint64_t RequestId);
+
+  /// Applies a grant. Frames of another node, epoch or session are ignored.
+  [[nodiscard]] std::vector<dispatch>
+  onGrant(node_id From, const pool_grant &Grant, instant Now);
+
+  /// Notes the cost streamed so far.
+  void progress(std::uint64_t RequestId, double CostSoFar);
+
+  /// Ends a request in flight; its slot goes back or to a waiting request.
+  /// `FirstTokenTime` is the time from dispatch to the first token.
+  [[nodiscard]] std::vector<dispatch>
+  complete(std::uint64_t RequestId, double TotalCost, request_outcome Outcome,
+           std::optional<duration> FirstTokenTime, instant Now);
+
+  /// Removes and returns waiting requests whose deadline has passed.
+  [[nodiscard]] std::vector<std::uint64_t> expire(instant Now);
+
+  /// Follows a new grantor. Lower or equal epochs are ignored.
+  void setEpoch(epoch Epoch, node_id Grantor, instant Now);
+  /// Starts a new session after the old one ended: idle credits lapse,
+  /// requests in flight stay counted.
+  void setSession(incarnation Incarnation);
+  /// Nothing is dispatched at or after this instant. Returns requests that an
+  /// extended lease lets go.
+  [[nodiscard]] std::vector<dispatch> setLease(instant Until, instant Now);
+  /// Sets the upstreams that may be used; idle credits on others go back.
+  void setUsable(std::vector<upstream_id> Upstreams);
+  /// Weights for the local order of requests that use idle credits.
+  void setTeams(const std::vector<std::pair<team_id, double>> &Weights);
+
+  /// True when `makeReport` should be called and its result sent.
+  [[nodiscard]] bool reportDue(instant Now) const;
+  /// Instant at which a report is due if nothing else happens.
+  [[nodiscard]] instant nextReport() const;
+  [[nodiscard]] pool_report makeReport(instant Now);
+
+  [[nodiscard]] std::uint32_t waiting(team_id Team) const;
+  [[nodiscard]] std::uint32_t waiting() const noexcept;
+  [[nodiscard]] std::uint32_t inFlight() const noexcept;
+  [[nodiscard]] std::uint32_t inFlight(upstream_id Upstream) const;
+  [[nodiscard]] std::uint32_t idleCredits(upstream_id Upstream) const;
+  [[nodiscard]] node_id grantorNode() const noexcept { return Grantor; }
+  [[nodiscard]] epoch currentEpoch() const noexcept { return Epoch; }
+  [[nodiscard]] pool_id pool() const noexcept { return Pool; }
+
+private:
+  struct upstream_state {
+    std::uint32_t Idle = 0, InFlight = 0;
+    /// Held slots up to which a freed one stays while uncontended.
+    std::uint32_t Keep = 0;
+    std::uint32_t Limit = 0;
+    upstream_usage Usage;
+    /// Least in flight in the present and the previous window.
+    std::uint32_t LowNow = 0, LowBefore = 0;
+    /// Sequence of the first report that carries the newest change.
+    std::uint64_t ChangedAt = 0;
+  };
+  struct team_state {
+    std::deque<pending_request> Queue;
+    std::int64_t VirtualTime = 0;
+    double Charged = 0;
+    /// What the grantor believes: last reported minus granted since.
+    std::uint32_t Believed = 0;
+    std::uint64_t ChangedAt = 0;
+  };
+  struct running_request {
+    team_id Team{};
+    upstream_id Upstream{};
+    double Charged = 0;
+  };
+
+  void charge(team_id Team, double Cost);
+  void touch(upstream_state &Upstream);
+  void touch(team_state &Team);
+  void returnIdle(upstream_state &Upstream, std::uint32_t Most);
+  void applySlots(const grant_entry &Entry, instant Now,
+                  std::vector<dispatch> &Out);
+  void startRequest(team_id Team, std::size_t Position, upstream_id Upstream,
+                    std::vector<dispatch> &Out);
+  void useIdle(instant Now, std::vector<dispatch> &Out);
+  [[nodiscard]] bool keepsFreedSlots(instant Now) const;
+  [[nodiscard]] std::optional<std::size_t>
+  match(const team_state &Team, upstream_id Upstream, instant Now) const;
+  [[nodiscard]] std::optional<upstream_id>
+  bestIdle(const pending_request &Request) const;
+  void listTeam(team_id Id, team_state &Team, pool_report &Report) const;
+  void noteBacklog(team_id Team);
+  void resetReports(instant Now);
+
+  pool_id Pool;
+  std::uint32_t Session;
+  account_options Options;
+  epoch Epoch{};
+  node_id Grantor{};
+  instant LeaseUntil;
+  bool Contended = false;
+  std::set<upstream_id> Usable;
+  std::map<upstream_id, upstream_state> Upstreams;
+  std::map<team_id, team_state> Teams;
+  std::unordered_map<std::uint64_t, running_request> Running;
+  std::unordered_map<std::uint64_t, team_id> Waiting;
+  fair_queue LocalOrder;
+
+  std::uint64_t Sequence = 0, Acknowledged = 0, Applied = 0;
+  std::uint64_t AppliedReported = 0;
+  instant LastReport, AppliedAt, LowRotated;
+  std::optional<instant> UnansweredSince;
+  bool Urgent = true;
+};
+
+} // namespace arbutus::pool
+
+template <> struct arbutus::name_table<arbutus::pool::request_outcome> {
+  using value = arbutus::pool::request_outcome;
+  static constexpr name_row<value> Rows[] = {
+      {value::Ok, "ok"},
+      {value::Overloaded, "overloaded"},
+      {value::Failed, "failed"},
+      {value::ConnectFailed, "connect_failed"},
+      {value::Cancelled, "cancelled"},
+      {value::TimedOut, "timed_out"},
+  };
+};
+
+template <> struct arbutus::name_table<arbutus::pool::admission_code> {
+  using value = arbutus::pool::admission_code;
+  static constexpr name_row<value> Rows[] = {
+      {value::TeamQueueFull, "team_queue_full"},
+      {value::DuplicateRequest, "duplicate_request"},
+      {value::DeadlinePassed, "deadline_passed"},
+      {value::LeaseEnded, "lease_ended"},
+  };
+};
+
+#endif
--- /dev/null
+++ b/src/pool/fair_queue.h
@@ -0,0 +1,54 @@
+#ifndef ARBUTUS_POOL_FAIR_QUEUE_H
+#define ARBUTUS_POOL_FAIR_QUEUE_H
+
+#include "base/ids.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace arbutus::pool {
+
+/// Weighted fair order of teams by virtual time: cost served divided by the
+/// team's weight.
+class fair_queue {
+public:
+  /// Sets the weight of a team; weights that are not positive count as 1.
+  void setWeight(team_id Team, double Weight);
+
+  /// Charges a cost; a negative one corrects an estimate that was too high.
+  void charge(team_id Team, double Cost);
+
+  /// Marks a team as backlogged or idle. A team that turns backlogged is
+  /// raised to the least virtual time of the backlogged teams, so that it
+  /// gains no credit for its absence.
+  void setBacklogged(team_id Team, bool Backlogged);
+
+  /// Starts a busy period: what teams used while nobody waited is forgotten.
+  void equalize();
+
+  /// Raises a team to at least this virtual time; used on takeover.
+  void raise(team_id Team, double VirtualTime);
+
+  /// Returns the backlogged team with the least virtual time among those for
+  /// which `Eligible` is true. Ties go to the lower team number.
+  [[nodiscard]] std::optional<team_id>
+  pick(const std::function<bool(team_id)> &Eligible) const;
+
+  [[nodiscard]] double virtualTime(team_id Team) const;
+  [[nodiscard]] bool anyBacklogged() const noexcept { return Backlogged > 0; }
+
+private:
+  struct team_state {
+    double Weight = 1;
+    double VirtualTime = 0;
+    bool Backlogged = false;
+  };
+
+  std::map<team_id, team_state> Teams;
+  std::size_t Backlogged = 0;
+};
+
+} // namespace arbutus::pool
+
+#endif
--- /dev/null
+++ b/src/pool/grantor.h
@@ -0,0 +1,248 @@
+#ifndef ARBUTUS_POOL_GRANTOR_H
+#define ARBUTUS_POOL_GRANTOR_H
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/name_table.h"
+#include "pool/circuit_breaker.h"
+#include "pool/fair_queue.h"
+#include "pool/messages.h"
+#include "pool/upstream_limit.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace arbutus::pool {
+
+/// One upstream of the pool, as configured.
+struct upstream_config {
+  upstream_id Upstream{};
+  std::uint32_t Ceiling = 1;
+  std::uint32_t FirstLimit = 1;
+  /// Slots added per second of healthy use in slow start.
+  double Growth = 1;
+  /// False while the upstream is leaving or its failure domain is out.
+  bool Usable = true;
+  std::string FailureDomain;
+};
+
+enum class member_state { Live, Suspected, Ended };
+
+/// One node session as the control leader sees it.
+struct member {
+  node_id Node{};
+  incarnation Incarnation{};
+  member_state State = member_state::Live;
+};
+
+struct grantor_options {
+  /// Time after which unacknowledged entries are sent again.
+  duration ResendAfter = 50ms;
+  /// Time after which a report is acknowledged if nothing else is sent.
+  duration AckDelay = 50ms;
+  /// Time without waiting teams before idle credits are handed out again.
+  duration CalmBeforeReserve = 20ms;
+  /// Time without waiting teams that ends a busy period.
+  duration BusyPeriodGap = 1s;
+  /// Time between two spreads of the reserve.
+  duration ReserveInterval = 100ms;
+  /// Time between notices of a rising limit; a fall is told at once.
+  duration LimitNoticeInterval = 1s;
+  /// Silence after which a router gets no new slots.
+  duration RouterSilence = 500ms;
+  breaker_options Breaker;
+};
+
+enum class grant_reason {
+  /// The team had the least virtual time among those that wait.
+  LeastVirtualTime,
+  /// Nobody waited: idle credits for a router.
+  Reserve,
+};
+
+struct granted_record {
+  grant_reason Reason{};
+  std::optional<team_id> Team;
+  upstream_id Upstream{};
+  node_id Node{};
+  std::uint32_t Count = 0;
+};
+
+enum class limit_cause { Growth, Overload, Cold, Restarted, Returned, Resumed };
+
+struct limit_record {
+  upstream_id Upstream{};
+  std::uint32_t Before = 0, After = 0;
+  limit_cause Cause{};
+};
+
+struct breaker_record {
+  upstream_id Upstream{};
+  breaker_state State{};
+};
+
+/// What a grantor decided since the last call, for the log.
+struct decisions {
+  std::vector<granted_record> Granted;
+  std::vector<limit_record> Limits;
+  std::vector<breaker_record> Breakers;
+  /// Set when the pool turned contended or uncontended.
+  std::optional<bool> Contended;
+};
+
+struct run_result {
+  std::vector<std::pair<node_id, pool_grant>> Grants;
+  decisions Decisions;
+};
+
+/// Grants the slots of one pool in fair order, for one epoch. Callers hold a
+/// lock. The sum of slots that routers hold on an upstream, counted from their
+/// reports and the grants on the way, never grows beyond its limit.
+class grantor {
+public:
+  grantor(pool_id Pool, epoch Epoch, grantor_options Options, instant Now);
+
+  void setUpstreams(const std::vector<upstream_config> &List, instant Now);
+  void setTeams(const std::vector<std::pair<team_id, double>> &Weights);
+  /// Sets the sessions. A known session that is missing counts as ended. Call
+  /// it before the first `run`; every listed session that has not reported is
+  /// assumed to hold what the others have not reported.
+  void setMembers(const std::vector<member> &List, instant Now);
+
+  /// Applies a report; ignores one of another epoch, an older session or an
+  /// older sequence.
+  void onReport(node_id Node, incarnation Incarnation,
+                const pool_report &Report, instant Now);
+  void onLoadReport(upstream_id Upstream, const load_report &Report,
+                    instant Now);
+
+  /// Takes all decisions that are due and returns one frame per router that
+  /// needs one.
+  [[nodiscard]] run_result run(instant Now);
+
+  /// Slots of an upstream that are or may be in use: held, on the way, left
+  /// by ended sessions or assumed.
+  [[nodiscard]] std::uint32_t occupied(upstream_id Upstream) const;
+  /// Slots that may be in use at most, after breaker and usability.
+  [[nodiscard]] std::uint32_t allowed(upstream_id Upstream) const;
+  [[nodiscard]] double virtualTime(team_id Team) const;
+  [[nodiscard]] bool contended() const noexcept { return Contended; }
+  [[nodiscard]] pool_id pool() const noexcept { return Pool; }
+  [[nodiscard]] epoch currentEpoch() const noexcept { return Epoch; }
+
+private:
+  struct impl_upstream {
+    upstream_config Config;
+    upstream_limit Limit;
+    circuit_breaker Breaker;
+    /// Slots that ended sessions may still occupy.
+    std::uint32_t Left = 0;
+    instant LeftSince;
+    /// Slots assumed to be held by sessions that have not reported.
+    std::uint32_t Assumed = 0;
+    /// Slots of reported routers, with grants on the way.
+    std::uint32_t Held = 0;
+    std::uint32_t NoticedLimit = 0;
+    std::optional<instant> NoticedAt;
+  };
+  struct usage_sample {
+    instant At;
+    std::uint32_t LeastInFlight = 0;
+  };
+  struct router_upstream {
+    upstream_usage Usage;
+    /// Granted, not yet acknowledged.
+    std::uint32_t OnTheWay = 0;
+    std::deque<usage_sample> Samples;
+    std::uint64_t DispatchedBefore = 0;
+    double RecentUse = 0;
+  };
+  struct router_team {
+    team_usage Usage;
+    std::uint32_t OnTheWay = 0;
+  };
+  struct router {
+    incarnation Incarnation{};
+    member_state State = member_state::Live;
+    bool Reported = false;
+    bool Contended = false;
+    std::uint64_t Sequence = 0;
+    /// Number of the first entry in `Entries`.
+    std::uint64_t First = 1;
+    std::deque<grant_entry> Entries;
+    std::uint64_t Sent = 0;
+    bool MustSend = false;
+    instant LastSent, LastHeard;
+    std::optional<instant> AckOwedSince;
+    std::map<upstream_id, router_upstream> Upstreams;
+    std::map<team_id, router_team> Teams;
+  };
+
+  void endSession(router &Router, instant Now);
+  void settleAssumed(instant Now);
+  void acknowledge(router &Router, std::uint64_t Applied);
+  void applyUsage(router &Router, const upstream_usage &Usage, instant Now);
+  void applyTeam(router &Router, const team_usage &Usage);
+  void takeOver(const pool_report &Report, instant Now);
+  void refreshHeld(upstream_id Upstream);
+  void advanceLimits(instant Now);
+  void noticeLimits(instant Now);
+  void recallOverLimit();
+  void grantWaiting(instant Now);
+  void setContended(bool Value);
+  void spreadReserve(instant Now);
+  void push(router &Router, grant_entry Entry);
+  void noteLimit(impl_upstream &Upstream, std::uint32_t Before,
+                 limit_cause Cause);
+  [[nodiscard]] std::uint32_t demand(const router &Router, team_id Team) const;
+  [[nodiscard]] bool reachable(const router &Router, instant Now) const;
+  [[nodiscard]] std::uint32_t freeSlots(const impl_upstream &Upstream) const;
+  [[nodiscard]] std::vector<std::pair<node_id, pool_grant>> frames(instant Now);
+
+  pool_id Pool;
+  epoch Epoch;
+  grantor_options Options;
+  instant Started;
+  std::map<upstream_id, impl_upstream> Upstreams;
+  std::map<node_id, router> Routers;
+  std::map<team_id, node_id> LastServed;
+  fair_queue Order;
+  bool Contended = false;
+  instant LastWaited, LastSpread;
+  decisions Pending;
+};
+
+} // namespace arbutus::pool
+
+template <> struct arbutus::name_table<arbutus::pool::member_state> {
+  using value = arbutus::pool::member_state;
+  static constexpr name_row<value> Rows[] = {
+      {value::Live, "live"},
+      {value::Suspected, "suspected"},
+      {value::Ended, "ended"},
+  };
+};
+
+template <> struct arbutus::name_table<arbutus::pool::grant_reason> {
+  using value = arbutus::pool::grant_reason;
+  static constexpr name_row<value> Rows[] = {
+      {value::LeastVirtualTime, "least_virtual_time"},
+      {value::Reserve, "reserve"},
+  };
+};
+
+template <> struct arbutus::name_table<arbutus::pool::limit_cause> {
+  using value = arbutus::pool::limit_cause;
+  static constexpr name_row<value> Rows[] = {
+      {value::Growth, "growth"},     {value::Overload, "overload"},
+      {value::Cold, "cold"},         {value::Restarted, "restarted"},
+      {value::Returned, "returned"}, {value::Resumed, "resumed"},
+  };
+};
+
+#endif
--- /dev/null
+++ b/src/pool/pool.h
@@ -0,0 +1,12 @@
+#ifndef ARBUTUS_POOL_POOL_H
+#define ARBUTUS_POOL_POOL_H
+
+#include "pool/circuit_breaker.h"
+#include "pool/credit_account.h"
+#include "pool/fair_queue.h"
+#include "pool/forward.h"
+#include "pool/grantor.h"
+#include "pool/messages.h"
+#include "pool/upstream_limit.h"
+
+#endif
--- /dev/null
+++ b/src/pool/upstream_limit.h
@@ -0,0 +1,70 @@
+#ifndef ARBUTUS_POOL_UPSTREAM_LIMIT_H
+#define ARBUTUS_POOL_UPSTREAM_LIMIT_H
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace arbutus::pool {
+
+/// Load that an upstream reports. `MeasuredAt` is in the reader's clock; the
+/// figures describe some moment in [MeasuredAt - Lag, MeasuredAt].
+struct load_report {
+  incarnation Incarnation{};
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  instant MeasuredAt;
+  duration Lag{};
+};
+
+struct limit_options {
+  std::uint32_t Ceiling = 1;
+  std::uint32_t FirstLimit = 1;
+  /// Slots added per second of healthy use in slow start.
+  double Growth = 1;
+};
+
+/// Concurrency limit of one upstream: slow start, additive increase while the
+/// upstream is used and healthy, multiplicative decrease on overload.
+class upstream_limit {
+public:
+  explicit upstream_limit(limit_options Options, instant Now);
+
+  /// Changes the ceiling, first limit and growth; never raises the limit.
+  void setOptions(limit_options Options);
+
+  /// Continues from a predecessor's limit; used on takeover.
+  void resume(std::uint32_t Limit, instant Now);
+
+  /// Grows the limit for the time since the last call if the upstream was
+  /// used (at least half of the limit) and has been healthy.
+  void advance(std::uint32_t InUse, instant Now);
+
+  void onOverload(instant Now);
+  /// Starts slow start again: new, restarted, returned or cold upstream.
+  void onCold(instant Now);
+  /// Returns true when the first-token times show that the upstream is cold.
+  bool onFirstTokens(std::uint64_t Count, std::uint64_t SumMillis, instant Now);
+  /// Returns true when the report shows a restart.
+  bool onLoad(const load_report &Report, instant Now);
+
+  [[nodiscard]] std::uint32_t limit() const noexcept;
+  [[nodiscard]] bool inSlowStart() const noexcept { return SlowStart; }
+
+private:
+  limit_options Options;
+  double Limit;
+  double Threshold;
+  bool SlowStart = true;
+  instant LastAdvance;
+  std::optional<instant> LastDecrease;
+  std::optional<incarnation> Incarnation;
+  double UsualFirstToken = 0, RecentFirstToken = 0;
+  std::uint64_t FirstTokens = 0;
+};
+
+} // namespace arbutus::pool
+
+#endif
