pool: implement fair order, limits, breaker, grantor and credit account

The interface had no implementation.

Adds the decisions behind it. The first grantor of a pool (epoch 1) assumes nothing about slots in use; later ones assume that whatever the reported routers do not hold is in use until a load report shows otherwise.

Tests follow; behaviour has not been run.

--- /dev/null
+++ b/src/pool/credit_account.cpp
@@ -0,0 +1,478 @@
+#include "pool/credit_account.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutus::pool {
+
+namespace {
+
+/// A preferred upstream outweighs any difference in free share.
+constexpr double PreferenceWeight = 2;
+/// Window of the least in-flight count; longer than the report interval, so
+/// that one lost report leaves no gap.
+constexpr duration LowWindow = 200ms;
+
+std::uint32_t sessionOf(incarnation Incarnation) {
+  return static_cast<std::uint32_t>(number(Incarnation));
+}
+
+} // namespace
+
+credit_account::credit_account(pool_id Pool, incarnation Incarnation,
+                               account_options Options)
+    : Pool(Pool), Session(sessionOf(Incarnation)), Options(Options) {}
+
+result<std::optional<dispatch>, admission_error>
+credit_account::enqueue(pending_request Request, instant Now) {
+  auto &Team = Teams[Request.Team];
+  const auto Queued = Team.Queue.size();
+  if (Now >= LeaseUntil) {
+    return admission_error{admission_code::LeaseEnded, Queued};
+  }
+  if (Request.Deadline <= Now) {
+    return admission_error{admission_code::DeadlinePassed, Queued};
+  }
+  if (Running.count(Request.RequestId) + Waiting.count(Request.RequestId) > 0) {
+    return admission_error{admission_code::DuplicateRequest, Queued};
+  }
+  if (const auto Upstream = bestIdle(Request)) {
+    --Upstreams[*Upstream].Idle;
+    run(Request, *Upstream);
+    return std::optional(dispatch{Request.RequestId, *Upstream});
+  }
+  if (Queued >= Options.TeamQueueLimit) {
+    return admission_error{admission_code::TeamQueueFull, Queued};
+  }
+  Waiting.emplace(Request.RequestId, Request.Team);
+  Deadlines.emplace(Request.Deadline, Request.RequestId);
+  const auto Id = Request.Team;
+  Team.Queue.push(std::move(Request));
+  noteBacklog(Id, Team);
+  return std::optional<dispatch>();
+}
+
+bool credit_account::cancel(std::uint64_t RequestId) {
+  const auto Found = Waiting.find(RequestId);
+  if (Found == Waiting.end()) {
+    return false;
+  }
+  const auto Id = Found->second;
+  auto &Team = Teams[Id];
+  const auto Request = Team.Queue.remove(RequestId);
+  Deadlines.erase({Request->Deadline, RequestId});
+  Waiting.erase(Found);
+  noteBacklog(Id, Team);
+  return true;
+}
+
+std::vector<dispatch>
+credit_account::onGrant(node_id From, const pool_grant &Grant, instant Now) {
+  std::vector<dispatch> Out;
+  if (From != Grantor || Grant.Epoch != number(Epoch) ||
+      Grant.Session != Session || Grant.ReportSeen > Sequence) {
+    return Out;
+  }
+  Acknowledged = std::max(Acknowledged, Grant.ReportSeen);
+  UnansweredSince.reset();
+  auto Number = Grant.First;
+  for (const auto &Entry : Grant.Entries) {
+    if (Number > Applied + 1) {
+      break; // A frame before this one is missing; the next one repeats it.
+    }
+    if (Number++ == Applied + 1) {
+      ++Applied;
+      AppliedAt = Now;
+      apply(Entry, Now, Out);
+    }
+  }
+  if (Contended) {
+    for (auto &[Id, Upstream] : Upstreams) {
+      returnIdle(Upstream);
+    }
+  }
+  useIdle(Now, Out);
+  return Out;
+}
+
+void credit_account::progress(std::uint64_t RequestId, double CostSoFar) {
+  const auto Found = Running.find(RequestId);
+  if (Found != Running.end() && CostSoFar > Found->second.Charged) {
+    charge(Found->second.Team, CostSoFar - Found->second.Charged);
+    Found->second.Charged = CostSoFar;
+  }
+}
+
+std::vector<dispatch>
+credit_account::complete(std::uint64_t RequestId, double TotalCost,
+                         request_outcome Outcome,
+                         std::optional<duration> FirstTokenTime, instant Now) {
+  std::vector<dispatch> Out;
+  const auto Found = Running.find(RequestId);
+  if (Found == Running.end()) {
+    return Out;
+  }
+  const auto Request = Found->second;
+  Running.erase(Found);
+  charge(Request.Team, TotalCost - Request.Charged);
+  auto &Upstream = Upstreams[Request.Upstream];
+  auto &Usage = Upstream.Usage;
+  switch (Outcome) {
+  case request_outcome::Ok:
+    ++Usage.Ok;
+    break;
+  case request_outcome::Overloaded:
+    ++Usage.Overloaded;
+    Urgent = true;
+    break;
+  case request_outcome::Failed:
+  case request_outcome::ConnectFailed:
+  case request_outcome::TimedOut:
+    // A hanging upstream shows only as timeouts, so they count as failures.
+    ++Usage.Failed;
+    Urgent = true;
+    break;
+  case request_outcome::Cancelled:
+    break;
+  }
+  if (FirstTokenTime) {
+    ++Usage.FirstTokens;
+    Usage.FirstTokenMillis +=
+        std::max<std::int64_t>(0, toMicros(*FirstTokenTime) / 1000);
+  }
+  const auto HeldBefore = Upstream.Idle + Upstream.InFlight;
+  --Upstream.InFlight;
+  noteLow(Upstream);
+  touch(Upstream.ChangedAt);
+  const bool Keeps = keepsFreedSlots(Now) &&
+                     (Contended || HeldBefore <= Upstream.Keep) &&
+                     Usable.count(Request.Upstream) > 0;
+  if (Keeps) {
+    ++Upstream.Idle;
+    useIdle(Now, Out);
+  } else {
+    Urgent = true;
+  }
+  return Out;
+}
+
+std::vector<std::uint64_t> credit_account::expire(instant Now) {
+  std::vector<std::uint64_t> Expired;
+  while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
+    Expired.push_back(Deadlines.begin()->second);
+    cancel(Expired.back());
+  }
+  return Expired;
+}
+
+void credit_account::setEpoch(epoch Next, node_id Node, instant Now) {
+  if (Next <= Epoch) {
+    return;
+  }
+  Epoch = Next;
+  Grantor = Node;
+  LowRotated = Now;
+  reset();
+}
+
+void credit_account::setSession(incarnation Incarnation) {
+  Session = sessionOf(Incarnation);
+  for (auto &[Id, Upstream] : Upstreams) {
+    Upstream.Idle = 0;
+  }
+  reset();
+}
+
+std::vector<dispatch> credit_account::setLease(instant Until, instant Now) {
+  LeaseUntil = Until;
+  std::vector<dispatch> Out;
+  useIdle(Now, Out);
+  return Out;
+}
+
+void credit_account::setUsable(std::vector<upstream_id> List) {
+  Usable = {List.begin(), List.end()};
+  for (auto &[Id, Upstream] : Upstreams) {
+    if (Usable.count(Id) == 0) {
+      returnIdle(Upstream);
+    }
+  }
+}
+
+void credit_account::setTeams(
+    const std::vector<std::pair<team_id, double>> &Weights) {
+  for (const auto &[Team, Weight] : Weights) {
+    LocalOrder.setWeight(Team, Weight);
+  }
+}
+
+bool credit_account::reportDue(instant Now) const {
+  return number(Epoch) > 0 && Now >= nextReport();
+}
+
+instant credit_account::nextReport() const {
+  auto Due = LastReport + Options.ReportInterval;
+  if (Urgent) {
+    return LastReport + Options.BatchWindow;
+  }
+  if (Applied != AppliedReported) {
+    Due = std::min(Due, AppliedAt + Options.AckDelay);
+  }
+  return std::max(Due, LastReport + Options.BatchWindow);
+}
+
+pool_report credit_account::makeReport(instant Now) {
+  if (Now - LowRotated >= LowWindow) {
+    LowRotated = Now;
+    for (auto &[Id, Upstream] : Upstreams) {
+      Upstream.LowBefore = Upstream.LowNow;
+      Upstream.LowNow = Upstream.InFlight;
+    }
+  }
+  for (auto &[Id, Upstream] : Upstreams) {
+    const auto Least = std::min(Upstream.LowBefore, Upstream.LowNow);
+    if (Upstream.Usage.LeastInFlight != Least) {
+      Upstream.Usage.LeastInFlight = Least;
+      touch(Upstream.ChangedAt);
+    }
+  }
+  pool_report Report;
+  Report.Epoch = number(Epoch);
+  Report.Session = Session;
+  Report.Sequence = ++Sequence;
+  Report.Full = Acknowledged == 0;
+  Report.AppliedEntry = Applied;
+  for (auto &[Id, Upstream] : Upstreams) {
+    if (Report.Full || Upstream.ChangedAt > Acknowledged) {
+      Upstream.Usage.Upstream = number(Id);
+      Upstream.Usage.Held = Upstream.Idle + Upstream.InFlight;
+      Report.Upstreams.push_back(Upstream.Usage);
+    }
+    if (Report.Full && Upstream.Known.Notice > 0) {
+      Report.Limits.push_back(Upstream.Known);
+    }
+  }
+  for (auto &[Id, Team] : Teams) {
+    if (Team.ChangedAt > Acknowledged || (Report.Full && !Team.Queue.empty())) {
+      listTeam(Id, Team, Report);
+    }
+    if (Report.Full && Team.VirtualTime > 0) {
+      Report.VirtualTimes.push_back({number(Id), Team.VirtualTime});
+    }
+    Team.Believed = Team.Queue.size();
+  }
+  LastReport = Now;
+  Urgent = false;
+  AppliedReported = Applied;
+  if (!Report.Upstreams.empty() || !Report.Teams.empty()) {
+    UnansweredSince = UnansweredSince.value_or(Now);
+  }
+  return Report;
+}
+
+std::uint32_t credit_account::waiting(team_id Team) const {
+  const auto Found = Teams.find(Team);
+  return Found == Teams.end() ? 0 : Found->second.Queue.size();
+}
+
+std::uint32_t credit_account::waiting() const noexcept {
+  return static_cast<std::uint32_t>(Waiting.size());
+}
+
+std::uint32_t credit_account::inFlight() const noexcept {
+  return static_cast<std::uint32_t>(Running.size());
+}
+
+std::uint32_t credit_account::inFlight(upstream_id Upstream) const {
+  const auto Found = Upstreams.find(Upstream);
+  return Found == Upstreams.end() ? 0 : Found->second.InFlight;
+}
+
+std::uint32_t credit_account::idleCredits(upstream_id Upstream) const {
+  const auto Found = Upstreams.find(Upstream);
+  return Found == Upstreams.end() ? 0 : Found->second.Idle;
+}
+
+void credit_account::charge(team_id Id, double Cost) {
+  auto &Team = Teams[Id];
+  Team.Charged += Cost;
+  touch(Team.ChangedAt);
+  LocalOrder.charge(Id, Cost);
+}
+
+void credit_account::noteLow(upstream_state &Upstream) {
+  Upstream.LowNow = std::min(Upstream.LowNow, Upstream.InFlight);
+}
+
+void credit_account::noteBacklog(team_id Id, team_state &Team) {
+  touch(Team.ChangedAt);
+  LocalOrder.setBacklogged(Id, !Team.Queue.empty());
+  // A team that is known to wait with many requests needs no report for each
+  // further one; a quarter keeps the grantor's picture close enough.
+  const auto Actual = static_cast<std::int64_t>(Team.Queue.size());
+  const auto Believed = static_cast<std::int64_t>(Team.Believed);
+  if (std::abs(Actual - Believed) * 4 > Believed) {
+    Urgent = true;
+  }
+}
+
+void credit_account::returnIdle(upstream_state &Upstream) {
+  Upstream.Keep = 0;
+  if (Upstream.Idle > 0) {
+    Upstream.Idle = 0;
+    touch(Upstream.ChangedAt);
+    Urgent = true;
+  }
+}
+
+void credit_account::apply(const grant_entry &Entry, instant Now,
+                           std::vector<dispatch> &Out) {
+  const auto Id = static_cast<upstream_id>(Entry.Upstream);
+  const auto TeamId = static_cast<team_id>(Entry.Team);
+  switch (static_cast<entry_kind>(Entry.Kind)) {
+  case entry_kind::Slots: {
+    auto &Team = Teams[TeamId];
+    Team.VirtualTime = std::max(Team.VirtualTime, Entry.Value);
+    for (std::uint32_t I = 0; I < Entry.Count; ++I) {
+      Team.Believed -= std::min(Team.Believed, 1U);
+      std::optional<pending_request> Request;
+      if (Now < LeaseUntil && Usable.count(Id) > 0) {
+        Request = Team.Queue.take(Id, Now);
+      }
+      if (Request) {
+        start(*Request, Id, Out);
+      } else {
+        // Nobody fits: the slot goes back with the acknowledgement.
+        noteBacklog(TeamId, Team);
+        Urgent = true;
+      }
+    }
+    break;
+  }
+  case entry_kind::Reserve: {
+    auto &Upstream = Upstreams[Id];
+    if (Usable.count(Id) == 0) {
+      Urgent = true;
+      break;
+    }
+    Upstream.Idle += Entry.Count;
+    Upstream.Keep = std::max(Upstream.Keep, Upstream.Idle + Upstream.InFlight);
+    touch(Upstream.ChangedAt);
+    break;
+  }
+  case entry_kind::Recall:
+    returnIdle(Upstreams[Id]);
+    break;
+  case entry_kind::Contended:
+    Contended = true;
+    break;
+  case entry_kind::Uncontended:
+    Contended = false;
+    for (auto &[Key, Upstream] : Upstreams) {
+      Upstream.Keep = Upstream.Idle + Upstream.InFlight;
+    }
+    break;
+  case entry_kind::Limit:
+    Upstreams[Id].Known = {Entry.Upstream,
+                           static_cast<std::uint32_t>(Entry.Value), Entry.Count,
+                           Entry.Team};
+    break;
+  }
+}
+
+void credit_account::start(const pending_request &Request, upstream_id Upstream,
+                           std::vector<dispatch> &Out) {
+  Waiting.erase(Request.RequestId);
+  Deadlines.erase({Request.Deadline, Request.RequestId});
+  run(Request, Upstream);
+  noteBacklog(Request.Team, Teams[Request.Team]);
+  Out.push_back({Request.RequestId, Upstream});
+}
+
+void credit_account::run(const pending_request &Request, upstream_id Id) {
+  Running[Request.RequestId] = {Request.Team, Id, Request.EstimatedCost};
+  charge(Request.Team, Request.EstimatedCost);
+  ++Teams[Request.Team].Dispatched;
+  auto &Upstream = Upstreams[Id];
+  ++Upstream.InFlight;
+  ++Upstream.Usage.Dispatched;
+  touch(Upstream.ChangedAt);
+}
+
+void credit_account::useIdle(instant Now, std::vector<dispatch> &Out) {
+  std::optional<upstream_id> Upstream;
+  const auto Fit = [&](team_id Id) {
+    Upstream = Teams[Id].Queue.firstFit(
+        [&](const auto &Request) { return bestIdle(Request); }, Now);
+    return Upstream.has_value();
+  };
+  while (Now < LeaseUntil) {
+    const auto Id = LocalOrder.pick(Fit);
+    if (!Id) {
+      return;
+    }
+    const auto Request = Teams[*Id].Queue.take(*Upstream, Now);
+    if (!Request) {
+      return;
+    }
+    --Upstreams[*Upstream].Idle;
+    start(*Request, *Upstream, Out);
+  }
+}
+
+void credit_account::reset() {
+  Sequence = Acknowledged = Applied = AppliedReported = 0;
+  Contended = false;
+  UnansweredSince.reset();
+  Urgent = true;
+  for (auto &[Id, Upstream] : Upstreams) {
+    Upstream.Keep = Upstream.Idle + Upstream.InFlight;
+    Upstream.Usage = {};
+    Upstream.ChangedAt = 1;
+  }
+  for (auto &[Id, Team] : Teams) {
+    Team.Charged = 0;
+    Team.Dispatched = 0;
+    Team.Believed = 0;
+    Team.ChangedAt = Team.Queue.empty() ? 0 : 1;
+  }
+}
+
+void credit_account::listTeam(team_id Id, const team_state &Team,
+                              pool_report &Report) const {
+  team_usage Usage;
+  Usage.Team = number(Id);
+  Usage.Waiting = Team.Queue.size();
+  Usage.Charged = std::llround(Team.Charged);
+  Usage.Dispatched = Team.Dispatched;
+  Usage.Avoid = Team.Queue.avoided();
+  Usage.Prefer = Team.Queue.preferred();
+  Report.Teams.push_back(std::move(Usage));
+}
+
+bool credit_account::keepsFreedSlots(instant Now) const {
+  return !Contended ||
+         (UnansweredSince && Now - *UnansweredSince >= Options.GrantorSilence);
+}
+
+std::optional<upstream_id>
+credit_account::bestIdle(const pending_request &Request) const {
+  std::optional<upstream_id> Best;
+  double BestScore = -1;
+  for (const auto &[Id, Upstream] : Upstreams) {
+    if (Upstream.Idle == 0 || Usable.count(Id) == 0 || excludes(Request, Id)) {
+      continue;
+    }
+    const auto Most =
+        std::max({Upstream.Idle + Upstream.InFlight, Upstream.Keep, 1U});
+    const double Score = static_cast<double>(Upstream.Idle) / Most +
+                         (Request.Preferred == Id ? PreferenceWeight : 0);
+    if (Score > BestScore) {
+      BestScore = Score;
+      Best = Id;
+    }
+  }
+  return Best;
+}
+
+} // namespace arbutus::pool
--- a/src/pool/credit_account.h
+++ b/src/pool/credit_account.h
@@ -7,9 +7,9 @@
 #include "base/result.h"
 #include "pool/fair_queue.h"
 #include "pool/messages.h"
+#include "pool/team_queue.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,16 +28,6 @@
   TimedOut
 };
 
-/// A request that waits for a slot.
-struct pending_request {
-  std::uint64_t RequestId = 0;
-  team_id Team{};
-  double EstimatedCost = 1;
-  std::optional<upstream_id> Preferred;
-  std::vector<upstream_id> Excluded;
-  instant Deadline;
-};
-
 /// Tells the caller to send a request to an upstream now.
 struct dispatch {
   std::uint64_t RequestId = 0;
@@ -137,7 +127,7 @@
     std::uint32_t Idle = 0, InFlight = 0;
     /// Held slots up to which a freed one stays while uncontended.
     std::uint32_t Keep = 0;
-    std::uint32_t Limit = 0;
+    known_limit Known;
     upstream_usage Usage;
     /// Least in flight in the present and the previous window.
     std::uint32_t LowNow = 0, LowBefore = 0;
@@ -145,9 +135,10 @@
     std::uint64_t ChangedAt = 0;
   };
   struct team_state {
-    std::deque<pending_request> Queue;
+    team_queue Queue;
     std::int64_t VirtualTime = 0;
     double Charged = 0;
+    std::uint64_t Dispatched = 0;
     /// What the grantor believes: last reported minus granted since.
     std::uint32_t Believed = 0;
     std::uint64_t ChangedAt = 0;
@@ -159,22 +150,20 @@
   };
 
   void charge(team_id Team, double Cost);
-  void touch(upstream_state &Upstream);
-  void touch(team_state &Team);
-  void returnIdle(upstream_state &Upstream, std::uint32_t Most);
-  void applySlots(const grant_entry &Entry, instant Now,
-                  std::vector<dispatch> &Out);
-  void startRequest(team_id Team, std::size_t Position, upstream_id Upstream,
-                    std::vector<dispatch> &Out);
+  void touch(std::uint64_t &ChangedAt) const { ChangedAt = Sequence + 1; }
+  void noteLow(upstream_state &Upstream);
+  void noteBacklog(team_id Id, team_state &Team);
+  void returnIdle(upstream_state &Upstream);
+  void apply(const grant_entry &Entry, instant Now, std::vector<dispatch> &Out);
+  void start(const pending_request &Request, upstream_id Upstream,
+             std::vector<dispatch> &Out);
+  void run(const pending_request &Request, upstream_id Upstream);
   void useIdle(instant Now, std::vector<dispatch> &Out);
+  void reset();
+  void listTeam(team_id Id, const team_state &Team, pool_report &Report) const;
   [[nodiscard]] bool keepsFreedSlots(instant Now) const;
-  [[nodiscard]] std::optional<std::size_t>
-  match(const team_state &Team, upstream_id Upstream, instant Now) const;
   [[nodiscard]] std::optional<upstream_id>
   bestIdle(const pending_request &Request) const;
-  void listTeam(team_id Id, team_state &Team, pool_report &Report) const;
-  void noteBacklog(team_id Team);
-  void resetReports(instant Now);
 
   pool_id Pool;
   std::uint32_t Session;
@@ -188,6 +177,7 @@
   std::map<team_id, team_state> Teams;
   std::unordered_map<std::uint64_t, running_request> Running;
   std::unordered_map<std::uint64_t, team_id> Waiting;
+  std::set<std::pair<instant, std::uint64_t>> Deadlines;
   fair_queue LocalOrder;
 
   std::uint64_t Sequence = 0, Acknowledged = 0, Applied = 0;
--- /dev/null
+++ b/src/pool/fair_queue.cpp
@@ -0,0 +1,82 @@
+#include "pool/fair_queue.h"
+
+#include <algorithm>
+
+namespace arbutus::pool {
+
+void fair_queue::setWeight(team_id Team, double Weight) {
+  stateOf(Team).Weight = Weight > 0 ? Weight : 1;
+}
+
+void fair_queue::charge(team_id Team, double Cost) {
+  auto &State = stateOf(Team);
+  move(Team, State, State.VirtualTime + Cost / State.Weight);
+}
+
+void fair_queue::setBacklogged(team_id Team, bool Backlogged) {
+  auto &State = stateOf(Team);
+  if (State.Backlogged == Backlogged) {
+    return;
+  }
+  if (!Backlogged) {
+    Ranking.erase({State.VirtualTime, Team});
+  } else {
+    if (!Ranking.empty()) {
+      State.VirtualTime = std::max(State.VirtualTime, Ranking.begin()->first);
+    }
+    Ranking.insert({State.VirtualTime, Team});
+    Floor = std::max(Floor, Ranking.begin()->first);
+  }
+  State.Backlogged = Backlogged;
+}
+
+void fair_queue::equalize() {
+  double Most = Floor;
+  for (const auto &[Team, State] : Teams) {
+    Most = std::max(Most, State.VirtualTime);
+  }
+  Floor = Most;
+  for (auto &[Team, State] : Teams) {
+    move(Team, State, Most);
+  }
+}
+
+void fair_queue::raise(team_id Team, double VirtualTime) {
+  auto &State = stateOf(Team);
+  if (VirtualTime > State.VirtualTime) {
+    move(Team, State, VirtualTime);
+  }
+}
+
+std::optional<team_id>
+fair_queue::pick(const std::function<bool(team_id)> &Eligible) const {
+  for (const auto &[VirtualTime, Team] : Ranking) {
+    if (Eligible(Team)) {
+      return Team;
+    }
+  }
+  return std::nullopt;
+}
+
+double fair_queue::virtualTime(team_id Team) const {
+  const auto Found = Teams.find(Team);
+  return Found == Teams.end() ? Floor : Found->second.VirtualTime;
+}
+
+fair_queue::team_state &fair_queue::stateOf(team_id Team) {
+  const auto [Found, New] = Teams.try_emplace(Team);
+  if (New) {
+    Found->second.VirtualTime = Floor;
+  }
+  return Found->second;
+}
+
+void fair_queue::move(team_id Team, team_state &State, double VirtualTime) {
+  if (State.Backlogged) {
+    Ranking.erase({State.VirtualTime, Team});
+    Ranking.insert({VirtualTime, Team});
+  }
+  State.VirtualTime = VirtualTime;
+}
+
+} // namespace arbutus::pool
--- a/src/pool/fair_queue.h
+++ b/src/pool/fair_queue.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace arbutus::pool {
 
@@ -36,7 +38,7 @@
   pick(const std::function<bool(team_id)> &Eligible) const;
 
   [[nodiscard]] double virtualTime(team_id Team) const;
-  [[nodiscard]] bool anyBacklogged() const noexcept { return Backlogged > 0; }
+  [[nodiscard]] bool anyBacklogged() const noexcept { return !Ranking.empty(); }
 
 private:
   struct team_state {
@@ -45,8 +47,14 @@
     bool Backlogged = false;
   };
 
+  team_state &stateOf(team_id Team);
+  void move(team_id Team, team_state &State, double VirtualTime);
+
   std::map<team_id, team_state> Teams;
-  std::size_t Backlogged = 0;
+  /// Backlogged teams by virtual time, so that a pick does not scan all teams.
+  std::set<std::pair<double, team_id>> Ranking;
+  /// Virtual time at which a team that is not known yet starts.
+  double Floor = 0;
 };
 
 } // namespace arbutus::pool
--- a/src/pool/forward.h
+++ b/src/pool/forward.h
@@ -8,6 +8,7 @@
 enum class member_state;
 enum class grant_reason;
 enum class breaker_state;
+enum class limit_cause;
 
 struct pool_report;
 struct pool_grant;
@@ -23,6 +24,8 @@
 class fair_queue;
 class upstream_limit;
 class circuit_breaker;
+class router_session;
+class team_queue;
 class grantor;
 class credit_account;
 
--- a/src/pool/grantor.h
+++ b/src/pool/grantor.h
@@ -7,10 +7,10 @@
 #include "pool/circuit_breaker.h"
 #include "pool/fair_queue.h"
 #include "pool/messages.h"
+#include "pool/router_session.h"
 #include "pool/upstream_limit.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,15 +31,6 @@
   std::string FailureDomain;
 };
 
-enum class member_state { Live, Suspected, Ended };
-
-/// One node session as the control leader sees it.
-struct member {
-  node_id Node{};
-  incarnation Incarnation{};
-  member_state State = member_state::Live;
-};
-
 struct grantor_options {
   /// Time after which unacknowledged entries are sent again.
   duration ResendAfter = 50ms;
@@ -52,7 +43,7 @@
   /// Time between two spreads of the reserve.
   duration ReserveInterval = 100ms;
   /// Time between notices of a rising limit; a fall is told at once.
-  duration LimitNoticeInterval = 1s;
+  duration LimitNoticeInterval = 5s;
   /// Silence after which a router gets no new slots.
   duration RouterSilence = 500ms;
   breaker_options Breaker;
@@ -136,98 +127,93 @@
   [[nodiscard]] epoch currentEpoch() const noexcept { return Epoch; }
 
 private:
-  struct impl_upstream {
+  struct upstream_state {
     upstream_config Config;
     upstream_limit Limit;
     circuit_breaker Breaker;
-    /// Slots that ended sessions may still occupy.
-    std::uint32_t Left = 0;
-    instant LeftSince;
-    /// Slots assumed to be held by sessions that have not reported.
-    std::uint32_t Assumed = 0;
     /// Slots of reported routers, with grants on the way.
     std::uint32_t Held = 0;
-    std::uint32_t NoticedLimit = 0;
-    std::optional<instant> NoticedAt;
-  };
-  struct usage_sample {
-    instant At;
-    std::uint32_t LeastInFlight = 0;
-  };
-  struct router_upstream {
-    upstream_usage Usage;
-    /// Granted, not yet acknowledged.
-    std::uint32_t OnTheWay = 0;
-    std::deque<usage_sample> Samples;
-    std::uint64_t DispatchedBefore = 0;
-    double RecentUse = 0;
+    /// Slots assumed to be held by sessions that have not reported.
+    std::uint32_t Assumed = 0;
+    /// Slots that ended sessions may still occupy.
+    std::uint32_t Left = 0;
+    instant LeftSince{};
+    /// Waits until every router has been heard after its measurement.
+    std::optional<load_report> Load{};
+    std::uint32_t Running = 0;
+    /// Newest notice of the limit; on takeover, the newest that a router knew.
+    known_limit Known{};
+    instant NoticedAt{};
+    /// Takeover only: most slots in use by any notice, and the sum of what the
+    /// routers held when they reported first.
+    std::uint32_t MostInUse = 0, FirstHeld = 0;
   };
-  struct router_team {
-    team_usage Usage;
-    std::uint32_t OnTheWay = 0;
+  struct team_cost {
+    double Charged = 0;
+    double Dispatched = 0;
   };
-  struct router {
-    incarnation Incarnation{};
-    member_state State = member_state::Live;
-    bool Reported = false;
-    bool Contended = false;
-    std::uint64_t Sequence = 0;
-    /// Number of the first entry in `Entries`.
-    std::uint64_t First = 1;
-    std::deque<grant_entry> Entries;
-    std::uint64_t Sent = 0;
-    bool MustSend = false;
-    instant LastSent, LastHeard;
-    std::optional<instant> AckOwedSince;
-    std::map<upstream_id, router_upstream> Upstreams;
-    std::map<team_id, router_team> Teams;
+  struct choice {
+    node_id Node{};
+    upstream_id Upstream{};
   };
 
-  void endSession(router &Router, instant Now);
-  void settleAssumed(instant Now);
-  void acknowledge(router &Router, std::uint64_t Applied);
-  void applyUsage(router &Router, const upstream_usage &Usage, instant Now);
-  void applyTeam(router &Router, const team_usage &Usage);
+  void endSession(router_session &Router, instant Now);
+  void welcome(router_session &Router, const pool_report &Report, instant Now);
   void takeOver(const pool_report &Report, instant Now);
-  void refreshHeld(upstream_id Upstream);
+  void settleAssumed(instant Now);
+  void acknowledge(router_session &Router, std::uint64_t Applied);
+  void applyUsage(router_session &Router, const upstream_usage &Usage,
+                  instant Now);
+  void countOutcomes(upstream_state &Upstream, const upstream_usage &Before,
+                     const upstream_usage &After, instant Now);
+  void applyTeam(router_session &Router, const team_usage &Usage, instant Now);
+  void updateDemand(const router_session &Router, team_id Team,
+                    std::uint32_t Count, instant Now);
+  void updateReachable(instant Now);
+  void settleLeft(upstream_state &Upstream, instant Now);
   void advanceLimits(instant Now);
   void noticeLimits(instant Now);
-  void recallOverLimit();
+  void recallExcess();
   void grantWaiting(instant Now);
   void setContended(bool Value);
   void spreadReserve(instant Now);
-  void push(router &Router, grant_entry Entry);
-  void noteLimit(impl_upstream &Upstream, std::uint32_t Before,
+  void grantSlot(router_session &Router, team_id Team, upstream_id Upstream,
+                 instant Now);
+  void updateRecentUse();
+  void spread(upstream_id Id, upstream_state &Upstream);
+  void noteLimit(upstream_state &Upstream, std::uint32_t Before,
                  limit_cause Cause);
-  [[nodiscard]] std::uint32_t demand(const router &Router, team_id Team) const;
-  [[nodiscard]] bool reachable(const router &Router, instant Now) const;
-  [[nodiscard]] std::uint32_t freeSlots(const impl_upstream &Upstream) const;
+  void noteBreaker(const upstream_state &Upstream);
+  [[nodiscard]] std::uint32_t allowed(const upstream_state &Upstream) const;
+  [[nodiscard]] std::uint32_t free(const upstream_state &Upstream) const;
+  [[nodiscard]] double meanCost(team_id Team) const;
+  [[nodiscard]] double domainLoad(const std::string &Domain) const;
+  [[nodiscard]] std::optional<choice> choose(team_id Team) const;
+  [[nodiscard]] std::optional<upstream_id>
+  bestUpstream(const session_team &Team) const;
   [[nodiscard]] std::vector<std::pair<node_id, pool_grant>> frames(instant Now);
 
   pool_id Pool;
   epoch Epoch;
   grantor_options Options;
-  instant Started;
-  std::map<upstream_id, impl_upstream> Upstreams;
-  std::map<node_id, router> Routers;
+  std::map<upstream_id, upstream_state> Upstreams;
+  std::map<node_id, router_session> Routers;
+  /// Requests that wait without a slot on the way, by team and node.
+  std::map<team_id, std::map<node_id, std::uint32_t>> Demand;
   std::map<team_id, node_id> LastServed;
+  std::map<team_id, team_cost> Costs;
   fair_queue Order;
   bool Contended = false;
-  instant LastWaited, LastSpread;
+  bool MembersKnown = false;
+  /// False until every session known at the start has reported or ended.
+  bool Settled = false;
+  std::uint32_t LastNotice = 0;
+  instant LastWaited, LastSpread, LastAdvance;
   decisions Pending;
 };
 
 } // namespace arbutus::pool
 
-template <> struct arbutus::name_table<arbutus::pool::member_state> {
-  using value = arbutus::pool::member_state;
-  static constexpr name_row<value> Rows[] = {
-      {value::Live, "live"},
-      {value::Suspected, "suspected"},
-      {value::Ended, "ended"},
-  };
-};
-
 template <> struct arbutus::name_table<arbutus::pool::grant_reason> {
   using value = arbutus::pool::grant_reason;
   static constexpr name_row<value> Rows[] = {
--- a/src/pool/messages.h
+++ b/src/pool/messages.h
@@ -36,18 +36,24 @@
   std::uint32_t Waiting = 0;
   /// Cost charged in this epoch. Corrections of estimates can lower it.
   std::int64_t Charged = 0;
+  /// Requests sent in this epoch; with `Charged` it gives the mean cost.
+  std::uint64_t Dispatched = 0;
   /// Upstreams that none of the first waiting requests may use.
   std::vector<std::uint32_t> Avoid;
   /// Upstreams that the first waiting requests prefer, in order.
   std::vector<std::uint32_t> Prefer;
-  MSGPACK_DEFINE(Team, Waiting, Charged, Avoid, Prefer)
+  MSGPACK_DEFINE(Team, Waiting, Charged, Dispatched, Avoid, Prefer)
 };
 
 /// Last known copy of grantor state; only in full reports, for a successor.
 struct known_limit {
   std::uint32_t Upstream = 0;
   std::uint32_t Limit = 0;
-  MSGPACK_DEFINE(Upstream, Limit)
+  /// Most slots that can have been in use: above `Limit` after a fall.
+  std::uint32_t Most = 0;
+  /// Number of the notice, larger for newer ones, across epochs.
+  std::uint32_t Notice = 0;
+  MSGPACK_DEFINE(Upstream, Limit, Most, Notice)
 };
 struct known_virtual_time {
   std::uint32_t Team = 0;
@@ -88,7 +94,8 @@
   Contended,
   /// Freed slots stay, up to the reserve.
   Uncontended,
-  /// `Value` is the present limit of `Upstream`.
+  /// `Value` is the limit of `Upstream`, `Count` the most slots that may still
+  /// be in use and `Team` the number of the notice.
   Limit,
 };
 
@@ -101,6 +108,11 @@
   MSGPACK_DEFINE(Kind, Upstream, Team, Count, Value)
 };
 
+[[nodiscard]] inline grant_entry
+makeEntry(entry_kind Kind, upstream_id Upstream = {}, std::uint32_t Count = 0) {
+  return {static_cast<std::uint8_t>(Kind), number(Upstream), 0, Count, 0};
+}
+
 /// Sent by a grantor to one router. Holds every entry that the router has not
 /// acknowledged, so that the next frame replaces a lost one.
 struct pool_grant {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -7,6 +7,8 @@
 #include "pool/forward.h"
 #include "pool/grantor.h"
 #include "pool/messages.h"
+#include "pool/router_session.h"
+#include "pool/team_queue.h"
 #include "pool/upstream_limit.h"
 
 #endif
