pool: carry charges and estimates, remove local use of freed slots

A session test in virtual time showed three faults. Slots left by ended sessions stayed occupied, because least in-flight counts over 200 ms are far below the load while contended.

Freed slots now go back while contended, reports carry the estimate of waiting requests, charges that the old grantor has not acknowledged go to the new one, and load is compared with in-flight counts instant by instant.

--- a/src/pool/credit_account.cpp
+++ b/src/pool/credit_account.cpp
@@ -8,10 +8,11 @@
 namespace {
 
 /// A preferred upstream outweighs any difference in free share.
-constexpr double PreferenceWeight = 2;
-/// Window of the least in-flight count; longer than the report interval, so
-/// that one lost report leaves no gap.
-constexpr duration LowWindow = 200ms;
+constexpr double PreferenceWeight =
+    2; /// Reports whose charges are remembered; each later one repeats what an
+       /// earlier
+/// one told without an answer, so old ones may be forgotten.
+constexpr std::size_t MostUnseen = 64;
 
 std::uint32_t sessionOf(incarnation Incarnation) {
   return static_cast<std::uint32_t>(number(Incarnation));
@@ -73,8 +74,8 @@
       Grant.Session != Session || Grant.ReportSeen > Sequence) {
     return Out;
   }
-  Acknowledged = std::max(Acknowledged, Grant.ReportSeen);
-  UnansweredSince.reset();
+  acknowledge(Grant.ReportSeen);
+  SystemTime = std::max(SystemTime, Grant.SystemTime);
   auto Number = Grant.First;
   for (const auto &Entry : Grant.Entries) {
     if (Number > Applied + 1) {
@@ -142,17 +143,15 @@
   }
   const auto HeldBefore = Upstream.Idle + Upstream.InFlight;
   --Upstream.InFlight;
-  noteLow(Upstream);
+  Upstream.Low = std::min(Upstream.Low, Upstream.InFlight);
   touch(Upstream.ChangedAt);
-  const bool Keeps = keepsFreedSlots(Now) &&
-                     (Contended || HeldBefore <= Upstream.Keep) &&
+  const bool Keeps = !Contended && HeldBefore <= Upstream.Keep &&
                      Usable.count(Request.Upstream) > 0;
   if (Keeps) {
     ++Upstream.Idle;
     useIdle(Now, Out);
-  } else {
-    Urgent = true;
   }
+  Urgent = Urgent || !Keeps;
   return Out;
 }
 
@@ -165,13 +164,12 @@
   return Expired;
 }
 
-void credit_account::setEpoch(epoch Next, node_id Node, instant Now) {
+void credit_account::setEpoch(epoch Next, node_id Node) {
   if (Next <= Epoch) {
     return;
   }
   Epoch = Next;
   Grantor = Node;
-  LowRotated = Now;
   reset();
 }
 
@@ -222,19 +220,12 @@
 }
 
 pool_report credit_account::makeReport(instant Now) {
-  if (Now - LowRotated >= LowWindow) {
-    LowRotated = Now;
-    for (auto &[Id, Upstream] : Upstreams) {
-      Upstream.LowBefore = Upstream.LowNow;
-      Upstream.LowNow = Upstream.InFlight;
-    }
-  }
   for (auto &[Id, Upstream] : Upstreams) {
-    const auto Least = std::min(Upstream.LowBefore, Upstream.LowNow);
-    if (Upstream.Usage.LeastInFlight != Least) {
-      Upstream.Usage.LeastInFlight = Least;
+    if (Upstream.Usage.LeastInFlight != Upstream.Low) {
+      Upstream.Usage.LeastInFlight = Upstream.Low;
       touch(Upstream.ChangedAt);
     }
+    Upstream.Low = Upstream.InFlight;
   }
   pool_report Report;
   Report.Epoch = number(Epoch);
@@ -242,6 +233,7 @@
   Report.Sequence = ++Sequence;
   Report.Full = Acknowledged == 0;
   Report.AppliedEntry = Applied;
+  Report.SystemTime = Report.Full ? SystemTime : 0;
   for (auto &[Id, Upstream] : Upstreams) {
     if (Report.Full || Upstream.ChangedAt > Acknowledged) {
       Upstream.Usage.Upstream = number(Id);
@@ -252,21 +244,26 @@
       Report.Limits.push_back(Upstream.Known);
     }
   }
+  std::vector<std::pair<team_id, double>> Charges;
   for (auto &[Id, Team] : Teams) {
     if (Team.ChangedAt > Acknowledged || (Report.Full && !Team.Queue.empty())) {
       listTeam(Id, Team, Report);
+      Charges.emplace_back(Id, std::round(Team.Charged));
     }
     if (Report.Full && Team.VirtualTime > 0) {
       Report.VirtualTimes.push_back({number(Id), Team.VirtualTime});
     }
     Team.Believed = Team.Queue.size();
   }
+  if (!Charges.empty()) {
+    Unseen.emplace(Sequence, std::move(Charges));
+  }
+  if (Unseen.size() > MostUnseen) {
+    Unseen.erase(Unseen.begin());
+  }
   LastReport = Now;
   Urgent = false;
   AppliedReported = Applied;
-  if (!Report.Upstreams.empty() || !Report.Teams.empty()) {
-    UnansweredSince = UnansweredSince.value_or(Now);
-  }
   return Report;
 }
 
@@ -300,10 +297,6 @@
   LocalOrder.charge(Id, Cost);
 }
 
-void credit_account::noteLow(upstream_state &Upstream) {
-  Upstream.LowNow = std::min(Upstream.LowNow, Upstream.InFlight);
-}
-
 void credit_account::noteBacklog(team_id Id, team_state &Team) {
   touch(Team.ChangedAt);
   LocalOrder.setBacklogged(Id, !Team.Queue.empty());
@@ -332,7 +325,7 @@
   switch (static_cast<entry_kind>(Entry.Kind)) {
   case entry_kind::Slots: {
     auto &Team = Teams[TeamId];
-    Team.VirtualTime = std::max(Team.VirtualTime, Entry.Value);
+    Team.VirtualTime = Entry.Value;
     for (std::uint32_t I = 0; I < Entry.Count; ++I) {
       Team.Believed -= std::min(Team.Believed, 1U);
       std::optional<pending_request> Request;
@@ -392,7 +385,6 @@
 void credit_account::run(const pending_request &Request, upstream_id Id) {
   Running[Request.RequestId] = {Request.Team, Id, Request.EstimatedCost};
   charge(Request.Team, Request.EstimatedCost);
-  ++Teams[Request.Team].Dispatched;
   auto &Upstream = Upstreams[Id];
   ++Upstream.InFlight;
   ++Upstream.Usage.Dispatched;
@@ -423,38 +415,46 @@
 void credit_account::reset() {
   Sequence = Acknowledged = Applied = AppliedReported = 0;
   Contended = false;
-  UnansweredSince.reset();
   Urgent = true;
+  Unseen.clear();
   for (auto &[Id, Upstream] : Upstreams) {
     Upstream.Keep = Upstream.Idle + Upstream.InFlight;
     Upstream.Usage = {};
     Upstream.ChangedAt = 1;
   }
   for (auto &[Id, Team] : Teams) {
-    Team.Charged = 0;
-    Team.Dispatched = 0;
+    // What the old grantor has not seen goes to the new one.
+    Team.Charged -= Team.SeenCharged;
+    Team.SeenCharged = 0;
     Team.Believed = 0;
-    Team.ChangedAt = Team.Queue.empty() ? 0 : 1;
+    Team.ChangedAt = Team.Queue.empty() && Team.Charged == 0 ? 0 : 1;
   }
 }
 
+void credit_account::acknowledge(std::uint64_t ReportSeen) {
+  Acknowledged = std::max(Acknowledged, ReportSeen);
+  const auto Found = Unseen.find(ReportSeen);
+  if (Found != Unseen.end()) {
+    for (const auto &[Id, Charged] : Found->second) {
+      Teams[Id].SeenCharged = Charged;
+    }
+  }
+  Unseen.erase(Unseen.begin(), Unseen.upper_bound(ReportSeen));
+}
+
 void credit_account::listTeam(team_id Id, const team_state &Team,
                               pool_report &Report) const {
   team_usage Usage;
   Usage.Team = number(Id);
   Usage.Waiting = Team.Queue.size();
   Usage.Charged = std::llround(Team.Charged);
-  Usage.Dispatched = Team.Dispatched;
+  Usage.Estimate = static_cast<std::uint32_t>(
+      std::clamp(Team.Queue.meanEstimate(), 0.0, 1e9));
   Usage.Avoid = Team.Queue.avoided();
   Usage.Prefer = Team.Queue.preferred();
   Report.Teams.push_back(std::move(Usage));
 }
 
-bool credit_account::keepsFreedSlots(instant Now) const {
-  return !Contended ||
-         (UnansweredSince && Now - *UnansweredSince >= Options.GrantorSilence);
-}
-
 std::optional<upstream_id>
 credit_account::bestIdle(const pending_request &Request) const {
   std::optional<upstream_id> Best;
--- a/src/pool/credit_account.h
+++ b/src/pool/credit_account.h
@@ -56,9 +56,6 @@
   /// Delay after which applied entries are acknowledged even if nothing else
   /// is to be reported; below the grantor's time for resending.
   duration AckDelay = 20ms;
-  /// Time without an answer after which freed slots are kept for the local
-  /// queue, because the grantor is lost or cut off.
-  duration GrantorSilence = 200ms;
 };
 
 /// Router side of one pool: idle credits, requests in flight, a queue per team,
@@ -95,7 +92,7 @@
   [[nodiscard]] std::vector<std::uint64_t> expire(instant Now);
 
   /// Follows a new grantor. Lower or equal epochs are ignored.
-  void setEpoch(epoch Epoch, node_id Grantor, instant Now);
+  void setEpoch(epoch Epoch, node_id Grantor);
   /// Starts a new session after the old one ended: idle credits lapse,
   /// requests in flight stay counted.
   void setSession(incarnation Incarnation);
@@ -129,16 +126,16 @@
     std::uint32_t Keep = 0;
     known_limit Known;
     upstream_usage Usage;
-    /// Least in flight in the present and the previous window.
-    std::uint32_t LowNow = 0, LowBefore = 0;
+    /// Least in flight since the last report.
+    std::uint32_t Low = 0;
     /// Sequence of the first report that carries the newest change.
     std::uint64_t ChangedAt = 0;
   };
   struct team_state {
     team_queue Queue;
     std::int64_t VirtualTime = 0;
-    double Charged = 0;
-    std::uint64_t Dispatched = 0;
+    /// Cost charged in this epoch, and the part that the grantor has seen.
+    double Charged = 0, SeenCharged = 0;
     /// What the grantor believes: last reported minus granted since.
     std::uint32_t Believed = 0;
     std::uint64_t ChangedAt = 0;
@@ -151,7 +148,6 @@
 
   void charge(team_id Team, double Cost);
   void touch(std::uint64_t &ChangedAt) const { ChangedAt = Sequence + 1; }
-  void noteLow(upstream_state &Upstream);
   void noteBacklog(team_id Id, team_state &Team);
   void returnIdle(upstream_state &Upstream);
   void apply(const grant_entry &Entry, instant Now, std::vector<dispatch> &Out);
@@ -160,8 +156,8 @@
   void run(const pending_request &Request, upstream_id Upstream);
   void useIdle(instant Now, std::vector<dispatch> &Out);
   void reset();
+  void acknowledge(std::uint64_t ReportSeen);
   void listTeam(team_id Id, const team_state &Team, pool_report &Report) const;
-  [[nodiscard]] bool keepsFreedSlots(instant Now) const;
   [[nodiscard]] std::optional<upstream_id>
   bestIdle(const pending_request &Request) const;
 
@@ -182,8 +178,10 @@
 
   std::uint64_t Sequence = 0, Acknowledged = 0, Applied = 0;
   std::uint64_t AppliedReported = 0;
-  instant LastReport, AppliedAt, LowRotated;
-  std::optional<instant> UnansweredSince;
+  std::int64_t SystemTime = 0;
+  /// Charges in reports that are not acknowledged, by sequence.
+  std::map<std::uint64_t, std::vector<std::pair<team_id, double>>> Unseen;
+  instant LastReport, AppliedAt;
   bool Urgent = true;
 };
 
--- a/src/pool/fair_queue.cpp
+++ b/src/pool/fair_queue.cpp
@@ -18,6 +18,7 @@
   if (State.Backlogged == Backlogged) {
     return;
   }
+  Floor = systemTime();
   if (!Backlogged) {
     Ranking.erase({State.VirtualTime, Team});
   } else {
@@ -25,7 +26,6 @@
       State.VirtualTime = std::max(State.VirtualTime, Ranking.begin()->first);
     }
     Ranking.insert({State.VirtualTime, Team});
-    Floor = std::max(Floor, Ranking.begin()->first);
   }
   State.Backlogged = Backlogged;
 }
@@ -35,10 +35,7 @@
   for (const auto &[Team, State] : Teams) {
     Most = std::max(Most, State.VirtualTime);
   }
-  Floor = Most;
-  for (auto &[Team, State] : Teams) {
-    move(Team, State, Most);
-  }
+  raiseAll(Most);
 }
 
 void fair_queue::raise(team_id Team, double VirtualTime) {
@@ -48,6 +45,17 @@
   }
 }
 
+void fair_queue::raiseAll(double VirtualTime) {
+  Floor = std::max(Floor, VirtualTime);
+  for (auto &[Team, State] : Teams) {
+    move(Team, State, std::max(State.VirtualTime, VirtualTime));
+  }
+}
+
+double fair_queue::systemTime() const noexcept {
+  return Ranking.empty() ? Floor : std::max(Floor, Ranking.begin()->first);
+}
+
 std::optional<team_id>
 fair_queue::pick(const std::function<bool(team_id)> &Eligible) const {
   for (const auto &[VirtualTime, Team] : Ranking) {
--- a/src/pool/fair_queue.h
+++ b/src/pool/fair_queue.h
@@ -32,6 +32,12 @@
   /// Raises a team to at least this virtual time; used on takeover.
   void raise(team_id Team, double VirtualTime);
 
+  /// Raises every team, known or not yet, to at least this virtual time.
+  void raiseAll(double VirtualTime);
+
+  /// Greatest value that the least virtual time of backlogged teams has had.
+  [[nodiscard]] double systemTime() const noexcept;
+
   /// Returns the backlogged team with the least virtual time among those for
   /// which `Eligible` is true. Ties go to the lower team number.
   [[nodiscard]] std::optional<team_id>
--- a/src/pool/grantor.cpp
+++ b/src/pool/grantor.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-/// A router's least in-flight count covers 200 ms; after a longer silence it
-/// says nothing about the time between.
-constexpr duration CoveredTime = 200ms;
-/// A report heard this long after a measurement was made after it; far above
-/// the message delay within a region.
-constexpr duration HeardAfter = 50ms;
-/// Time to wait for such reports before a router counts with nothing in flight.
+/// Time in which a router's change reaches the grantor while contended: batch
+/// window, message delay and jitter within a region, with a wide margin.
+constexpr duration ChangeDelay = 15ms;
+/// Step between the instants at which a load report may have been measured.
+constexpr duration MeasureStep = 5ms;
+/// Time to wait for reports made after a measurement before a router counts
+/// with nothing in flight.
 constexpr duration HeardTimeout = 300ms;
 /// Samples older than any load report's lag are dropped.
 constexpr duration SampleAge = 10s;
@@ -111,7 +111,8 @@
   if (!Router.Reported) {
     welcome(Router, Report, Now);
   }
-  if (Now - Router.LastHeard > CoveredTime) {
+  if (Report.Sequence != Router.Sequence + 1) {
+    // The missing report may have told of a lower count.
     for (auto &[Id, Share] : Router.Upstreams) {
       Share.Samples.push_back({Now, 0});
     }
@@ -165,9 +166,9 @@
     grantWaiting(Now);
   }
   if (Order.anyBacklogged()) {
-    setContended(true);
+    setContended(true, Now);
   } else if (Contended && Now - LastWaited >= Options.CalmBeforeReserve) {
-    setContended(false);
+    setContended(false, Now);
   }
   recallExcess();
   spreadReserve(Now);
@@ -186,6 +187,12 @@
              : Found->second.Held + Found->second.Left + Found->second.Assumed;
 }
 
+std::uint32_t grantor::unaccounted(upstream_id Id) const {
+  const auto Found = Upstreams.find(Id);
+  return Found == Upstreams.end() ? 0
+                                  : Found->second.Left + Found->second.Assumed;
+}
+
 std::uint32_t grantor::allowed(upstream_id Id) const {
   const auto Found = Upstreams.find(Id);
   return Found == Upstreams.end() ? 0 : allowed(Found->second);
@@ -265,6 +272,7 @@
       Found->second.FirstHeld += Usage.Held;
     }
   }
+  Order.raiseAll(static_cast<double>(Report.SystemTime));
   for (const auto &Known : Report.VirtualTimes) {
     Order.raise(static_cast<team_id>(Known.Team),
                 static_cast<double>(Known.VirtualTime));
@@ -356,11 +364,7 @@
                         instant Now) {
   const auto Id = static_cast<team_id>(Usage.Team);
   auto &Team = Router.Teams[Id];
-  const auto Cost = static_cast<double>(Usage.Charged - Team.Usage.Charged);
-  Order.charge(Id, Cost);
-  Costs[Id].Charged += Cost;
-  Costs[Id].Dispatched +=
-      static_cast<double>(Usage.Dispatched - Team.Usage.Dispatched);
+  Order.charge(Id, static_cast<double>(Usage.Charged - Team.Usage.Charged));
   Team.Usage = Usage;
   updateDemand(Router, Id, Router.Reachable ? Team.demand() : 0, Now);
 }
@@ -408,23 +412,41 @@
     Upstream.Load.reset();
     return;
   }
-  std::uint32_t Known = 0;
   for (const auto &[Node, Router] : Routers) {
-    const auto Share = Router.Upstreams.find(Upstream.Config.Upstream);
-    if (!Router.Reported || Share == Router.Upstreams.end()) {
-      continue;
-    }
-    if (Router.LastHeard >= Load.MeasuredAt + HeardAfter) {
-      Known += Share->second.leastSince(Since);
-    } else if (Now < Load.MeasuredAt + HeardTimeout) {
+    if (Router.Reported && Router.Member.State != member_state::Ended &&
+        Router.LastHeard < Load.MeasuredAt + ChangeDelay &&
+        Now < Load.MeasuredAt + HeardTimeout) {
       return;
     }
   }
+  const auto Id = Upstream.Config.Upstream;
+  auto Known = leastInFlight(Id, Since, Load.MeasuredAt + ChangeDelay);
+  if (Contended && ModeSince <= Since) {
+    // Each end is reported at once, so the counts of different routers can be
+    // added for each instant at which the load may have been measured.
+    Known = UINT32_MAX;
+    for (auto At = Since; At <= Load.MeasuredAt; At += MeasureStep) {
+      Known = std::min(Known,
+                       leastInFlight(Id, At, At + MeasureStep + ChangeDelay));
+    }
+  }
   Upstream.Left =
       std::min(Upstream.Left, Load.Running > Known ? Load.Running - Known : 0);
   Upstream.Load.reset();
 }
 
+std::uint32_t grantor::leastInFlight(upstream_id Upstream, instant From,
+                                     instant To) const {
+  std::uint32_t Sum = 0;
+  for (const auto &[Node, Router] : Routers) {
+    const auto Share = Router.Upstreams.find(Upstream);
+    if (Share != Router.Upstreams.end() && Router.LastHeard >= To) {
+      Sum += Share->second.leastWithin(From, To);
+    }
+  }
+  return Sum;
+}
+
 void grantor::advanceLimits(instant Now) {
   for (auto &[Id, Upstream] : Upstreams) {
     const auto Before = Upstream.Limit.limit();
--- a/src/pool/grantor.h
+++ b/src/pool/grantor.h
@@ -119,6 +119,8 @@
   /// Slots of an upstream that are or may be in use: held, on the way, left
   /// by ended sessions or assumed.
   [[nodiscard]] std::uint32_t occupied(upstream_id Upstream) const;
+  /// Part of these that no session known to live holds.
+  [[nodiscard]] std::uint32_t unaccounted(upstream_id Upstream) const;
   /// Slots that may be in use at most, after breaker and usability.
   [[nodiscard]] std::uint32_t allowed(upstream_id Upstream) const;
   [[nodiscard]] double virtualTime(team_id Team) const;
@@ -148,10 +150,6 @@
     /// routers held when they reported first.
     std::uint32_t MostInUse = 0, FirstHeld = 0;
   };
-  struct team_cost {
-    double Charged = 0;
-    double Dispatched = 0;
-  };
   struct choice {
     node_id Node{};
     upstream_id Upstream{};
@@ -171,11 +169,13 @@
                     std::uint32_t Count, instant Now);
   void updateReachable(instant Now);
   void settleLeft(upstream_state &Upstream, instant Now);
+  [[nodiscard]] std::uint32_t leastInFlight(upstream_id Upstream, instant From,
+                                            instant To) const;
   void advanceLimits(instant Now);
   void noticeLimits(instant Now);
   void recallExcess();
   void grantWaiting(instant Now);
-  void setContended(bool Value);
+  void setContended(bool Value, instant Now);
   void spreadReserve(instant Now);
   void grantSlot(router_session &Router, team_id Team, upstream_id Upstream,
                  instant Now);
@@ -186,7 +186,6 @@
   void noteBreaker(const upstream_state &Upstream);
   [[nodiscard]] std::uint32_t allowed(const upstream_state &Upstream) const;
   [[nodiscard]] std::uint32_t free(const upstream_state &Upstream) const;
-  [[nodiscard]] double meanCost(team_id Team) const;
   [[nodiscard]] double domainLoad(const std::string &Domain) const;
   [[nodiscard]] std::optional<choice> choose(team_id Team) const;
   [[nodiscard]] std::optional<upstream_id>
@@ -201,13 +200,13 @@
   /// Requests that wait without a slot on the way, by team and node.
   std::map<team_id, std::map<node_id, std::uint32_t>> Demand;
   std::map<team_id, node_id> LastServed;
-  std::map<team_id, team_cost> Costs;
   fair_queue Order;
   bool Contended = false;
   bool MembersKnown = false;
   /// False until every session known at the start has reported or ended.
   bool Settled = false;
   std::uint32_t LastNotice = 0;
+  instant ModeSince;
   instant LastWaited, LastSpread, LastAdvance;
   decisions Pending;
 };
--- a/src/pool/grantor_grants.cpp
+++ b/src/pool/grantor_grants.cpp
@@ -61,9 +61,10 @@
   }
 }
 
-void grantor::setContended(bool Value) {
+void grantor::setContended(bool Value, instant Now) {
   if (Value != Contended) {
     Contended = Value;
+    ModeSince = Now;
     Pending.Contended = Value;
   }
   for (auto &[Node, Router] : Routers) {
@@ -107,7 +108,7 @@
   ++Demanded.OnTheWay;
   ++Router.Upstreams[Id].OnTheWay;
   ++Upstreams.at(Id).Held;
-  const double Cost = meanCost(Team);
+  const double Cost = Demanded.Usage.Estimate;
   Order.charge(Team, Cost);
   auto Entry = makeEntry(entry_kind::Slots, Id, 1);
   Entry.Team = number(Team);
@@ -202,13 +203,6 @@
   return Allowed > Used ? Allowed - Used : 0;
 }
 
-double grantor::meanCost(team_id Team) const {
-  const auto Found = Costs.find(Team);
-  return Found == Costs.end() || Found->second.Dispatched < 1
-             ? 1
-             : std::max(1.0, Found->second.Charged / Found->second.Dispatched);
-}
-
 double grantor::domainLoad(const std::string &Domain) const {
   double Used = 0, Allowed = 0;
   for (const auto &[Id, Upstream] : Upstreams) {
@@ -272,6 +266,7 @@
     }
     if (auto Frame =
             Router.frame(Epoch, Options.ResendAfter, Options.AckDelay, Now)) {
+      Frame->SystemTime = std::llround(Order.systemTime());
       Frames.emplace_back(Node, std::move(*Frame));
     }
   }
--- a/src/pool/messages.h
+++ b/src/pool/messages.h
@@ -16,9 +16,9 @@
   std::uint32_t Upstream = 0;
   /// Slots held: idle credits plus requests in flight.
   std::uint32_t Held = 0;
-  /// Least number of requests in flight over the last 200 to 400 ms. The
-  /// grantor subtracts it from an upstream's load to find what an ended router
-  /// left running, so it must never be too high.
+  /// Least number of requests in flight since the report before. The grantor
+  /// subtracts it from an upstream's load to find what an ended router left
+  /// running, so it must never be too high.
   std::uint32_t LeastInFlight = 0;
   /// Requests sent in this epoch; the reserve is spread by it.
   std::uint64_t Dispatched = 0;
@@ -36,13 +36,13 @@
   std::uint32_t Waiting = 0;
   /// Cost charged in this epoch. Corrections of estimates can lower it.
   std::int64_t Charged = 0;
-  /// Requests sent in this epoch; with `Charged` it gives the mean cost.
-  std::uint64_t Dispatched = 0;
+  /// Mean estimated cost of the first waiting requests.
+  std::uint32_t Estimate = 0;
   /// Upstreams that none of the first waiting requests may use.
   std::vector<std::uint32_t> Avoid;
   /// Upstreams that the first waiting requests prefer, in order.
   std::vector<std::uint32_t> Prefer;
-  MSGPACK_DEFINE(Team, Waiting, Charged, Dispatched, Avoid, Prefer)
+  MSGPACK_DEFINE(Team, Waiting, Charged, Estimate, Avoid, Prefer)
 };
 
 /// Last known copy of grantor state; only in full reports, for a successor.
@@ -77,8 +77,10 @@
   std::vector<team_usage> Teams;
   std::vector<known_limit> Limits;
   std::vector<known_virtual_time> VirtualTimes;
+  /// Least virtual time of the backlogged teams, as last told; in full reports.
+  std::int64_t SystemTime = 0;
   MSGPACK_DEFINE(Epoch, Session, Sequence, Full, AppliedEntry, Upstreams, Teams,
-                 Limits, VirtualTimes)
+                 Limits, VirtualTimes, SystemTime)
 };
 
 /// What a numbered entry of a grant tells the router.
@@ -123,8 +125,10 @@
   std::uint64_t First = 1;
   /// Sequence of the newest report that was applied.
   std::uint64_t ReportSeen = 0;
+  /// Least virtual time of the backlogged teams.
+  std::int64_t SystemTime = 0;
   std::vector<grant_entry> Entries;
-  MSGPACK_DEFINE(Epoch, Session, First, ReportSeen, Entries)
+  MSGPACK_DEFINE(Epoch, Session, First, ReportSeen, SystemTime, Entries)
 };
 
 } // namespace arbutus::pool
--- a/src/pool/router_session.cpp
+++ b/src/pool/router_session.cpp
@@ -11,15 +11,17 @@
 
 } // namespace
 
-std::uint32_t session_upstream::leastSince(instant Since) const {
-  std::uint32_t Least = Usage.LeastInFlight;
+std::uint32_t session_upstream::leastWithin(instant From, instant To) const {
+  std::optional<std::uint32_t> Least;
   for (auto At = Samples.rbegin(); At != Samples.rend(); ++At) {
-    Least = std::min(Least, At->LeastInFlight);
-    if (At->At < Since) {
-      return Least;
+    if (At->At <= To) {
+      Least = std::min(Least.value_or(At->LeastInFlight), At->LeastInFlight);
+    }
+    if (At->At <= From) {
+      return *Least;
     }
   }
-  return Samples.empty() ? 0 : Least;
+  return 0;
 }
 
 void router_session::push(grant_entry Entry, double Provisional) {
--- a/src/pool/router_session.h
+++ b/src/pool/router_session.h
@@ -42,8 +42,8 @@
 
   /// Slots that the router holds or will hold.
   [[nodiscard]] std::uint32_t held() const { return Usage.Held + OnTheWay; }
-  /// Requests that were surely in flight at every instant since `Since`.
-  [[nodiscard]] std::uint32_t leastSince(instant Since) const;
+  /// Least in-flight count known at any time in [From, To].
+  [[nodiscard]] std::uint32_t leastWithin(instant From, instant To) const;
 };
 
 /// A router's demand of one team, as the grantor knows it.
--- a/src/pool/team_queue.cpp
+++ b/src/pool/team_queue.cpp
@@ -94,6 +94,14 @@
   return List;
 }
 
+double team_queue::meanEstimate() const {
+  double Sum = 0;
+  for (std::size_t I = 0; I < seen(); ++I) {
+    Sum += Queue[I].Request.EstimatedCost;
+  }
+  return Queue.empty() ? 0 : Sum / static_cast<double>(seen());
+}
+
 std::size_t team_queue::seen() const noexcept {
   return std::min(MatchWindow, Queue.size());
 }
--- a/src/pool/team_queue.h
+++ b/src/pool/team_queue.h
@@ -53,6 +53,9 @@
   /// Preferred upstreams of the first requests, at most four.
   [[nodiscard]] std::vector<std::uint32_t> preferred() const;
 
+  /// Mean estimated cost of the first requests, or 0 if none waits.
+  [[nodiscard]] double meanEstimate() const;
+
   [[nodiscard]] std::uint32_t size() const noexcept {
     return static_cast<std::uint32_t>(Queue.size());
   }
