--- a/src/pool/credit_account.cpp
+++ b/src/pool/credit_account.cpp
@@ -178,6 +178,11 @@
   for (auto &[Id, Upstream] : Upstreams) {
     Upstream.Idle = 0;
   }
+  for (auto &[Id, Team] : Teams) {
+    // The grantor keeps what the old session reported.
+    Team.Charged -= Team.SeenCharged;
+    Team.SeenCharged = 0;
+  }
   reset();
 }
 
@@ -250,8 +255,8 @@
       listTeam(Id, Team, Report);
       Charges.emplace_back(Id, std::round(Team.Charged));
     }
-    if (Report.Full && Team.VirtualTime > 0) {
-      Report.VirtualTimes.push_back({number(Id), Team.VirtualTime});
+    if (Report.Full && Team.Base > 0) {
+      Report.Bases.push_back({number(Id), Team.Base});
     }
     Team.Believed = Team.Queue.size();
   }
@@ -325,7 +330,7 @@
   switch (static_cast<entry_kind>(Entry.Kind)) {
   case entry_kind::Slots: {
     auto &Team = Teams[TeamId];
-    Team.VirtualTime = Entry.Value;
+    Team.Base = std::max(Team.Base, Entry.Value);
     for (std::uint32_t I = 0; I < Entry.Count; ++I) {
       Team.Believed -= std::min(Team.Believed, 1U);
       std::optional<pending_request> Request;
@@ -423,9 +428,6 @@
     Upstream.ChangedAt = 1;
   }
   for (auto &[Id, Team] : Teams) {
-    // What the old grantor has not seen goes to the new one.
-    Team.Charged -= Team.SeenCharged;
-    Team.SeenCharged = 0;
     Team.Believed = 0;
     Team.ChangedAt = Team.Queue.empty() && Team.Charged == 0 ? 0 : 1;
   }
--- a/src/pool/credit_account.h
+++ b/src/pool/credit_account.h
@@ -133,8 +133,9 @@
   };
   struct team_state {
     team_queue Queue;
-    std::int64_t VirtualTime = 0;
-    /// Cost charged in this epoch, and the part that the grantor has seen.
+    /// Last known base of the team's virtual time.
+    std::int64_t Base = 0;
+    /// Cost charged in this session, and the part that the grantor has seen.
     double Charged = 0, SeenCharged = 0;
     /// What the grantor believes: last reported minus granted since.
     std::uint32_t Believed = 0;
--- a/src/pool/fair_queue.cpp
+++ b/src/pool/fair_queue.cpp
@@ -13,7 +13,7 @@
   move(Team, State, State.VirtualTime + Cost / State.Weight);
 }
 
-void fair_queue::setBacklogged(team_id Team, bool Backlogged) {
+void fair_queue::setBacklogged(team_id Team, bool Backlogged, bool Raise) {
   auto &State = stateOf(Team);
   if (State.Backlogged == Backlogged) {
     return;
@@ -22,7 +22,7 @@
   if (!Backlogged) {
     Ranking.erase({State.VirtualTime, Team});
   } else {
-    if (!Ranking.empty()) {
+    if (Raise && !Ranking.empty()) {
       State.VirtualTime = std::max(State.VirtualTime, Ranking.begin()->first);
     }
     Ranking.insert({State.VirtualTime, Team});
@@ -38,13 +38,6 @@
   raiseAll(Most);
 }
 
-void fair_queue::raise(team_id Team, double VirtualTime) {
-  auto &State = stateOf(Team);
-  if (VirtualTime > State.VirtualTime) {
-    move(Team, State, VirtualTime);
-  }
-}
-
 void fair_queue::raiseAll(double VirtualTime) {
   Floor = std::max(Floor, VirtualTime);
   for (auto &[Team, State] : Teams) {
@@ -71,6 +64,11 @@
   return Found == Teams.end() ? Floor : Found->second.VirtualTime;
 }
 
+double fair_queue::weight(team_id Team) const {
+  const auto Found = Teams.find(Team);
+  return Found == Teams.end() ? 1 : Found->second.Weight;
+}
+
 fair_queue::team_state &fair_queue::stateOf(team_id Team) {
   const auto [Found, New] = Teams.try_emplace(Team);
   if (New) {
--- a/src/pool/fair_queue.h
+++ b/src/pool/fair_queue.h
@@ -23,15 +23,13 @@
 
   /// Marks a team as backlogged or idle. A team that turns backlogged is
   /// raised to the least virtual time of the backlogged teams, so that it
-  /// gains no credit for its absence.
-  void setBacklogged(team_id Team, bool Backlogged);
+  /// gains no credit for its absence, unless `Raise` is false: on takeover the
+  /// backlogged teams keep their distances whatever the order of the calls.
+  void setBacklogged(team_id Team, bool Backlogged, bool Raise = true);
 
   /// Starts a busy period: what teams used while nobody waited is forgotten.
   void equalize();
 
-  /// Raises a team to at least this virtual time; used on takeover.
-  void raise(team_id Team, double VirtualTime);
-
   /// Raises every team, known or not yet, to at least this virtual time.
   void raiseAll(double VirtualTime);
 
@@ -44,6 +42,7 @@
   pick(const std::function<bool(team_id)> &Eligible) const;
 
   [[nodiscard]] double virtualTime(team_id Team) const;
+  [[nodiscard]] double weight(team_id Team) const;
   [[nodiscard]] bool anyBacklogged() const noexcept { return !Ranking.empty(); }
 
 private:
--- a/src/pool/grantor.cpp
+++ b/src/pool/grantor.cpp
@@ -14,6 +14,8 @@
 /// Time to wait for reports made after a measurement before a router counts
 /// with nothing in flight.
 constexpr duration HeardTimeout = 300ms;
+/// Two report intervals: a live session has reported by then.
+constexpr duration GatherTime = 200ms;
 /// Samples older than any load report's lag are dropped.
 constexpr duration SampleAge = 10s;
 /// Growth is slow, so limits need no step in every run.
@@ -23,7 +25,7 @@
 
 grantor::grantor(pool_id Pool, epoch Epoch, grantor_options Options,
                  instant Now)
-    : Pool(Pool), Epoch(Epoch), Options(Options),
+    : Pool(Pool), Epoch(Epoch), Options(Options), Started(Now),
       // The first grantor of a pool has no predecessor that granted slots.
       Settled(number(Epoch) <= 1), LastWaited(Now), LastSpread(Now),
       LastAdvance(Now) {}
@@ -152,8 +154,9 @@
   if (!MembersKnown) {
     return {};
   }
-  updateReachable(Now);
   settleAssumed(Now);
+  gather(Now);
+  updateReachable(Now);
   for (auto &[Id, Upstream] : Upstreams) {
     settleLeft(Upstream, Now);
   }
@@ -220,6 +223,10 @@
   }
   for (const auto &[Id, Team] : Router.Teams) {
     updateDemand(Router, Id, 0, Now);
+    Reported[Id] -= static_cast<double>(Team.Usage.Charged);
+  }
+  for (const auto &[Entry, Provisional] : Router.entries()) {
+    Reported[static_cast<team_id>(Entry.Team)] -= Provisional;
   }
   Router.Upstreams.clear();
   Router.Teams.clear();
@@ -272,13 +279,39 @@
       Found->second.FirstHeld += Usage.Held;
     }
   }
-  Order.raiseAll(static_cast<double>(Report.SystemTime));
-  for (const auto &Known : Report.VirtualTimes) {
-    Order.raise(static_cast<team_id>(Known.Team),
-                static_cast<double>(Known.VirtualTime));
+  KnownSystemTime = std::max(KnownSystemTime, Report.SystemTime);
+  for (const auto &Known : Report.Bases) {
+    const auto Team = static_cast<team_id>(Known.Team);
+    auto &Base = Bases[Team];
+    if (Known.Base > Base) {
+      Order.charge(Team,
+                   static_cast<double>(Known.Base - Base) * Order.weight(Team));
+      Base = Known.Base;
+    }
   }
 }
 
+void grantor::gather(instant Now) {
+  const bool AllLive =
+      std::all_of(Routers.begin(), Routers.end(), [](const auto &Entry) {
+        return Entry.second.Reported ||
+               Entry.second.Member.State != member_state::Live;
+      });
+  if (!Gathered && (Settled || AllLive || Now - Started >= GatherTime)) {
+    Gathered = true;
+    // A team that nobody has a copy of gains no credit from the takeover.
+    Order.raiseAll(static_cast<double>(KnownSystemTime));
+    Restoring = number(Epoch) > 1;
+    updateReachable(Now);
+    Restoring = false;
+  }
+}
+
+void grantor::charge(team_id Team, double Cost) {
+  Reported[Team] += Cost;
+  Order.charge(Team, Cost);
+}
+
 void grantor::settleAssumed(instant Now) {
   if (Settled) {
     return;
@@ -314,7 +347,7 @@
       auto &Demanded = Router.Teams[Team];
       Demanded.OnTheWay -= Entry.Count;
       Demanded.Usage.Waiting -= std::min(Demanded.Usage.Waiting, Entry.Count);
-      Order.charge(Team, -Provisional);
+      charge(Team, -Provisional);
     }
   }
 }
@@ -364,7 +397,7 @@
                         instant Now) {
   const auto Id = static_cast<team_id>(Usage.Team);
   auto &Team = Router.Teams[Id];
-  Order.charge(Id, static_cast<double>(Usage.Charged - Team.Usage.Charged));
+  charge(Id, static_cast<double>(Usage.Charged - Team.Usage.Charged));
   Team.Usage = Usage;
   updateDemand(Router, Id, Router.Reachable ? Team.demand() : 0, Now);
 }
@@ -381,7 +414,7 @@
       Now - LastWaited >= Options.BusyPeriodGap) {
     Order.equalize();
   }
-  Order.setBacklogged(Team, !Nodes.empty());
+  Order.setBacklogged(Team, !Nodes.empty(), !Restoring);
   if (Nodes.empty()) {
     Demand.erase(Team);
   }
@@ -389,7 +422,7 @@
 
 void grantor::updateReachable(instant Now) {
   for (auto &[Node, Router] : Routers) {
-    const bool Reachable = Router.Reported &&
+    const bool Reachable = Gathered && Router.Reported &&
                            Router.Member.State == member_state::Live &&
                            Now - Router.LastHeard < Options.RouterSilence;
     if (Reachable == Router.Reachable) {
--- a/src/pool/grantor.h
+++ b/src/pool/grantor.h
@@ -159,6 +159,8 @@
   void welcome(router_session &Router, const pool_report &Report, instant Now);
   void takeOver(const pool_report &Report, instant Now);
   void settleAssumed(instant Now);
+  void gather(instant Now);
+  void charge(team_id Team, double Cost);
   void acknowledge(router_session &Router, std::uint64_t Applied);
   void applyUsage(router_session &Router, const upstream_usage &Usage,
                   instant Now);
@@ -195,14 +197,25 @@
   pool_id Pool;
   epoch Epoch;
   grantor_options Options;
+  instant Started;
   std::map<upstream_id, upstream_state> Upstreams;
   std::map<node_id, router_session> Routers;
   /// Requests that wait without a slot on the way, by team and node.
   std::map<team_id, std::map<node_id, std::uint32_t>> Demand;
   std::map<team_id, node_id> LastServed;
+  /// Charges within the virtual times that live sessions report, or that wait
+  /// for their report.
+  std::map<team_id, double> Reported;
+  /// Takeover only: largest known base per team, and system time.
+  std::map<team_id, std::int64_t> Bases;
+  std::int64_t KnownSystemTime = 0;
   fair_queue Order;
   bool Contended = false;
   bool MembersKnown = false;
+  /// False until the live sessions have told what the virtual times are.
+  bool Gathered = false;
+  /// True while the backlog of a predecessor is taken over.
+  bool Restoring = false;
   /// False until every session known at the start has reported or ended.
   bool Settled = false;
   std::uint32_t LastNotice = 0;
--- a/src/pool/grantor_grants.cpp
+++ b/src/pool/grantor_grants.cpp
@@ -109,10 +109,11 @@
   ++Router.Upstreams[Id].OnTheWay;
   ++Upstreams.at(Id).Held;
   const double Cost = Demanded.Usage.Estimate;
-  Order.charge(Team, Cost);
+  charge(Team, Cost);
   auto Entry = makeEntry(entry_kind::Slots, Id, 1);
   Entry.Team = number(Team);
-  Entry.Value = std::llround(Order.virtualTime(Team));
+  Entry.Value = std::llround(Order.virtualTime(Team) -
+                             Reported[Team] / Order.weight(Team));
   Router.push(Entry, Cost);
   updateDemand(Router, Team, Demanded.demand(), Now);
   Pending.Granted.push_back(
--- a/src/pool/messages.h
+++ b/src/pool/messages.h
@@ -34,7 +34,7 @@
 struct team_usage {
   std::uint32_t Team = 0;
   std::uint32_t Waiting = 0;
-  /// Cost charged in this epoch. Corrections of estimates can lower it.
+  /// Cost charged in this session. Corrections of estimates can lower it.
   std::int64_t Charged = 0;
   /// Mean estimated cost of the first waiting requests.
   std::uint32_t Estimate = 0;
@@ -55,10 +55,10 @@
   std::uint32_t Notice = 0;
   MSGPACK_DEFINE(Upstream, Limit, Most, Notice)
 };
-struct known_virtual_time {
+struct known_base {
   std::uint32_t Team = 0;
-  std::int64_t VirtualTime = 0;
-  MSGPACK_DEFINE(Team, VirtualTime)
+  std::int64_t Base = 0;
+  MSGPACK_DEFINE(Team, Base)
 };
 
 /// Sent by a router to the grantor of a pool.
@@ -76,17 +76,18 @@
   std::vector<upstream_usage> Upstreams;
   std::vector<team_usage> Teams;
   std::vector<known_limit> Limits;
-  std::vector<known_virtual_time> VirtualTimes;
+  std::vector<known_base> Bases;
   /// Least virtual time of the backlogged teams, as last told; in full reports.
   std::int64_t SystemTime = 0;
   MSGPACK_DEFINE(Epoch, Session, Sequence, Full, AppliedEntry, Upstreams, Teams,
-                 Limits, VirtualTimes, SystemTime)
+                 Limits, Bases, SystemTime)
 };
 
 /// What a numbered entry of a grant tells the router.
 enum class entry_kind : std::uint8_t {
   /// `Count` slots on `Upstream` for waiting requests of `Team`; `Value` is
-  /// the team's virtual time.
+  /// the base of the team's virtual time: what remains without the charges that
+  /// live sessions report. It never falls, so the largest copy is the newest.
   Slots,
   /// `Count` idle credits on `Upstream`; the router may keep as many.
   Reserve,
