--- a/src/pool/credit_account.cpp
+++ b/src/pool/credit_account.cpp
@@ -214,7 +214,9 @@
 }
 
 instant credit_account::nextReport() const {
-  auto Due = LastReport + Options.ReportInterval;
+  const bool Streams = Contended && !Running.empty();
+  auto Due = LastReport +
+             (Streams ? Options.ContendedInterval : Options.ReportInterval);
   if (Urgent) {
     return LastReport + Options.BatchWindow;
   }
--- a/src/pool/credit_account.h
+++ b/src/pool/credit_account.h
@@ -53,6 +53,10 @@
   duration BatchWindow = 1ms;
   /// Least frequent reporting.
   duration ReportInterval = 100ms;
+  /// Least frequent reporting while contended and requests run. The gap grows
+  /// with the age of streamed costs: 1.19 times the naive gap on average with
+  /// 100 ms at 24 routers, 1.06 with 20 ms.
+  duration ContendedInterval = 40ms;
   /// Delay after which applied entries are acknowledged even if nothing else
   /// is to be reported; below the grantor's time for resending.
   duration AckDelay = 20ms;
--- a/tests/pool/fleet_sim.h
+++ b/tests/pool/fleet_sim.h
@@ -277,18 +277,14 @@
 };
 
 /// Share of slot time that was free while as much work waited, and the longest
-/// time that one slot was free while work waited all along.
+/// time that one slot was free while one request waited.
 class idle_tracker {
 public:
   void sample(const std::map<upstream_id, std::uint32_t> &Limits,
               const std::map<upstream_id, std::uint32_t> &Used,
               std::map<upstream_id, std::uint32_t> &Started,
-              std::uint64_t Waiting, instant Now) {
-    if (Waiting == 0) {
-      WaitingSince.reset();
-    } else {
-      WaitingSince = WaitingSince.value_or(Now);
-    }
+              std::uint64_t Waiting, std::optional<instant> Oldest,
+              instant Now) {
     std::uint64_t FreeSum = 0;
     for (const auto &[Upstream, Limit] : Limits) {
       const auto Found = Used.find(Upstream);
@@ -309,9 +305,8 @@
       }
       FreeSum += Free;
       SlotTime += Limit;
-      if (WaitingSince && !Since.empty()) {
-        Longest =
-            std::max(Longest, Now - std::max(Since.front(), *WaitingSince));
+      if (Oldest && !Since.empty()) {
+        Longest = std::max(Longest, Now - std::max(Since.front(), *Oldest));
       }
     }
     IdleTime += static_cast<double>(std::min(FreeSum, Waiting));
@@ -322,7 +317,6 @@
 
 private:
   std::map<upstream_id, std::deque<instant>> FreeSince;
-  std::optional<instant> WaitingSince;
   double IdleTime = 0, SlotTime = 0;
 };
 
--- a/tests/pool/fleet_world.h
+++ b/tests/pool/fleet_world.h
@@ -22,7 +22,8 @@
     bool Up = true, Connected = true;
     member_state Session = member_state::Live;
     instant Lost, Lease;
-    std::uint64_t Sent = 0;
+    /// Ids of waiting requests, in order of arrival.
+    std::set<std::uint64_t> Waiting;
   };
 
   fleet_world(const sim_options &Options, std::vector<sim_request> Input)
@@ -185,8 +186,14 @@
     if ((Now - instant{}) % SampleInterval == 0us) {
       sample();
     }
-    Idle.sample(Limits, occupiedTruly(), Floor.Started,
-                Grantor && Steady ? waiting() : 0, Now);
+    std::optional<instant> Oldest;
+    for (const auto &Router : Routers) {
+      if (Router.Up && Router.Connected && !Router.Waiting.empty()) {
+        const auto Arrival = ById.at(*Router.Waiting.begin())->Arrival;
+        Oldest = std::min(Oldest.value_or(Arrival), Arrival);
+      }
+    }
+    Idle.sample(Limits, Floor.Used, Floor.Started, waiting(), Oldest, Now);
     Floor.Started.clear();
   }
 
@@ -238,22 +245,20 @@
         ++Rejected;
       } else if (Result.value()) {
         dispatchAll(R, {*Result.value()});
+      } else {
+        Routers[R].Waiting.insert(Request.Id);
       }
     }
     Naive.step(Now, naiveLimits(), Arrived);
   }
 
   /// The naive scheduler has the slots that the fleet can use at this time:
-  /// none is freed while there is no grantor, and slots that an ended session
-  /// may occupy are in use.
+  /// it starts nothing while there is no grantor, and slots that an ended
+  /// session may occupy are in use.
   std::map<upstream_id, std::uint32_t> naiveLimits() {
     auto Usable = Limits;
     for (auto &[Id, Limit] : Usable) {
-      if (!Grantor) {
-        Limit = Floor.Used[Id];
-      } else {
-        Limit -= std::min(Limit, Grantor->unaccounted(Id));
-      }
+      Limit -= std::min(Limit, Grantor ? Grantor->unaccounted(Id) : Limit);
     }
     return Usable;
   }
@@ -269,6 +274,7 @@
         fault("dispatched to an unusable upstream", number(Upstream));
       }
       ++Dispatched;
+      Routers[R].Waiting.erase(Id);
       LastService[Request.Team] = Now;
       const auto Running = Floor.Used[Upstream];
       const bool Over = Running + 1 > bearable(Upstream);
@@ -389,6 +395,7 @@
 
   void startRouter(std::uint32_t R) {
     auto &Router = Routers[R];
+    Router.Waiting.clear();
     account_options Account;
     Account.TeamQueueLimit = 100000;
     // Requests that the old process left running end at the upstream only.
@@ -415,6 +422,8 @@
     Grantor->setUpstreams(configs(), Now);
     Grantor->setTeams(Weights);
     tellMembers();
+    // Before any report it takes the whole capacity for occupied.
+    (void)Grantor->run(Now);
     for (auto &Router : Routers) {
       Router.Account->setTeams(Weights);
       if (Router.Connected) {
@@ -481,11 +490,6 @@
     }
   }
 
-public:
-  /// False while a fault lets slots idle by rule; the test sets it.
-  bool Steady = true;
-
-private:
   std::multimap<instant, std::function<void(fleet_world &)>> Actions;
   std::multimap<instant, message> Network;
   std::map<std::uint64_t, const sim_request *> ById;
--- a/tests/pool/test_fleet.cpp
+++ b/tests/pool/test_fleet.cpp
@@ -140,7 +140,8 @@
   sim_options Options;
   Options.Seed = Seed;
   Options.Routers = Routers;
-  Options.Length = getenv("LEN") ? duration(atoi(getenv("LEN")) * 1000000LL) : 10s;
+  Options.Length =
+      getenv("LEN") ? duration(atoi(getenv("LEN")) * 1000000LL) : 10s;
   Options.Teams = usualTeams();
   Case.Adjust(Options);
   auto World = std::make_unique<fleet_world>(Options, makeInput(Options));
@@ -153,9 +154,12 @@
 
 TEST_CASE("probe", "[.]") {
   const int Seeds = atoi(getenv("SEEDS"));
+  int Left = getenv("N") ? atoi(getenv("N")) : 99;
   for (const auto &Case : cases()) {
+    if (Left-- == 0) break;
     for (std::uint32_t Routers : {3, 12, 24}) {
-      double MaxG = 0, MaxN = 0; double Worst = 0, Sum = 0, Idle = 0;
+      double RB = 0, MaxG = 0, MaxN = 0;
+      double Worst = 0, Sum = 0, Idle = 0;
       std::int64_t Longest = 0, Starved = 0;
       int At = 0;
       for (int S = 1; S <= Seeds; ++S) {
@@ -165,35 +169,63 @@
           Worst = Ratio;
           At = S;
         }
-        MaxG = std::max(MaxG, W->Gap.Largest); MaxN = std::max(MaxN, W->Naive.Gap.Largest);
-        Sum += Ratio;
+        MaxG = std::max(MaxG, W->Gap.Largest);
+        MaxN = std::max(MaxN, W->Naive.Gap.Largest);
+        Sum += Ratio; RB = double(W->ReportBytes + W->GrantBytes) / W->Granted;
         Idle = std::max(Idle, W->Idle.share());
         Longest = std::max(Longest, toMicros(W->Idle.Longest));
         Starved = std::max(Starved, toMicros(W->LongestStarved));
         for (auto &F : W->Faults)
           std::cout << "   " << S << ": " << F << "\n";
       }
-      std::cout << Case.Name << " " << Routers << " all " << MaxG / MaxN << " worst " << Worst << " @"
-                << At << " mean " << Sum / Seeds << " idle " << Idle
-                << " longest " << Longest << "/" << toMicros(Case.IdleBound)
-                << " starved " << Starved << std::endl;
+      std::cout << Case.Name << " " << Routers << " all " << MaxG / MaxN
+                << " worst " << Worst << " @" << At << " mean " << Sum / Seeds
+                << " B " << RB << " idle " << Idle << " longest " << Longest << "/"
+                << toMicros(Case.IdleBound) << " starved " << Starved
+                << std::endl;
     }
   }
 }
 TEST_CASE("detail", "[.]") {
   const auto &Case = cases()[atoi(getenv("CASE"))];
-  sim_options Options; Options.Seed = atoi(getenv("SEED")); Options.Routers = atoi(getenv("R")); Options.Length = 10s; Options.Teams = usualTeams();
+  sim_options Options;
+  Options.Seed = atoi(getenv("SEED"));
+  Options.Routers = atoi(getenv("R"));
+  Options.Length = 10s;
+  Options.Teams = usualTeams();
   Case.Adjust(Options);
   fleet_world W(Options, makeInput(Options));
   Case.Arrange(W);
-  const int From = atoi(getenv("FROM")), To = atoi(getenv("TO")), By = atoi(getenv("BY"));
-  for (int T = From; T < To; T += By) W.at(duration(T * 1000), [T](auto &V) {
-    auto S = V.Floor.served(V.Options.Teams, V.Now), N = V.Naive.Floor.served(V.Options.Teams, V.Now);
-    std::cout << T;
-    for (int I = 1; I <= 8; ++I) { auto Id = static_cast<team_id>(I); int Wt = 0; for (auto &R : V.Routers) Wt += R.Account->waiting(Id);
-      std::cout << " | " << std::llround(S[Id]) << "/" << std::llround(N[Id]) << " w" << Wt << "/" << V.Naive.Scheduler.waiting(Id) << " v" << (V.Grantor ? std::llround(V.Grantor->virtualTime(Id)) : 0); }
-    int U = 0, M = 0; for (auto &[Id, X] : V.Floor.Used) U += X; for (auto &[Id, X] : V.Naive.Floor.Used) M += X;
-    std::cout << " used " << U << "/" << M << "\n"; });
+  const int From = atoi(getenv("FROM")), To = atoi(getenv("TO")),
+            By = atoi(getenv("BY"));
+  for (int T = From; T < To; T += By)
+    W.at(duration(T * 1000), [T](auto &V) {
+      auto S = V.Floor.served(V.Options.Teams, V.Now),
+           N = V.Naive.Floor.served(V.Options.Teams, V.Now);
+      std::cout << T;
+      std::cout << " longest " << toMicros(V.Idle.Longest)
+                << (V.Grantor && V.Grantor->contended() ? " C " : " U ");
+      for (int I = 1; I <= 8; ++I) {
+        auto Id = static_cast<team_id>(I);
+        int Wt = 0;
+        for (auto &R : V.Routers)
+          Wt += R.Account->waiting(Id);
+        std::cout << " | " << std::llround(S[Id]) << "/" << std::llround(N[Id])
+                  << " w" << Wt << "/" << V.Naive.Scheduler.waiting(Id) << " v"
+                  << (V.Grantor ? std::llround(V.Grantor->virtualTime(Id)) : 0);
+      }
+      int U = 0, M = 0;
+      for (auto &[Id, X] : V.Floor.Used)
+        U += X;
+      for (auto &[Id, X] : V.Naive.Floor.Used)
+        M += X;
+      std::cout << " used " << U << "/" << M << "\n";
+    });
   W.run();
-  std::cout << "gap " << W.Gap.Largest << " " << number(W.Gap.Teams.first) << "," << number(W.Gap.Teams.second) << " at " << toMicros(W.Gap.At) << " naive " << W.Naive.Gap.Largest << " at " << toMicros(W.Naive.Gap.At) << " " << number(W.Naive.Gap.Teams.first) << "," << number(W.Naive.Gap.Teams.second) << "\n";
+  std::cout << "gap " << W.Gap.Largest << " " << number(W.Gap.Teams.first)
+            << "," << number(W.Gap.Teams.second) << " at " << toMicros(W.Gap.At)
+            << " naive " << W.Naive.Gap.Largest << " at "
+            << toMicros(W.Naive.Gap.At) << " "
+            << number(W.Naive.Gap.Teams.first) << ","
+            << number(W.Naive.Gap.Teams.second) << "\n";
 }
