pool: add rule tests, session tests against a naive scheduler and a golden file

Late first reports no longer charge what happened before the takeover. Limits are told to routers when they rose by a quarter, at most once a second, so that a new grantor resumes from a recent value.

--- a/src/pool/grantor.cpp
+++ b/src/pool/grantor.cpp
@@ -81,6 +81,7 @@
     const auto [Found, New] =
         Routers.try_emplace(Entry.Node, router_session(Entry, Now));
     auto &Router = Found->second;
+    Router.Early = New ? !Gathered : Router.Early;
     if (!New && Entry.Incarnation < Router.Member.Incarnation) {
       continue;
     }
@@ -110,6 +111,9 @@
       (!Router.Reported && !Report.Full)) {
     return;
   }
+  // What a session charged before the takeover is not charged again when it
+  // reports late: its teams have been raised to the system time meanwhile.
+  const bool Charges = Router.Reported || !Gathered || !Router.Early;
   if (!Router.Reported) {
     welcome(Router, Report, Now);
   }
@@ -126,7 +130,7 @@
     applyUsage(Router, Usage, Now);
   }
   for (const auto &Usage : Report.Teams) {
-    applyTeam(Router, Usage, Now);
+    applyTeam(Router, Usage, Charges, Now);
   }
   if (Report.Full || !Report.Upstreams.empty() || !Report.Teams.empty()) {
     Router.AckOwedSince = Router.AckOwedSince.value_or(Now);
@@ -280,6 +284,9 @@
     }
   }
   KnownSystemTime = std::max(KnownSystemTime, Report.SystemTime);
+  if (Gathered) {
+    return;
+  }
   for (const auto &Known : Report.Bases) {
     const auto Team = static_cast<team_id>(Known.Team);
     auto &Base = Bases[Team];
@@ -394,10 +401,12 @@
 }
 
 void grantor::applyTeam(router_session &Router, const team_usage &Usage,
-                        instant Now) {
+                        bool Charges, instant Now) {
   const auto Id = static_cast<team_id>(Usage.Team);
   auto &Team = Router.Teams[Id];
-  charge(Id, static_cast<double>(Usage.Charged - Team.Usage.Charged));
+  const auto Cost = static_cast<double>(Usage.Charged - Team.Usage.Charged);
+  Reported[Id] += Cost;
+  Order.charge(Id, Charges ? Cost : 0);
   Team.Usage = Usage;
   updateDemand(Router, Id, Router.Reachable ? Team.demand() : 0, Now);
 }
@@ -497,7 +506,7 @@
     const auto Limit = Closed ? Upstream.Limit.limit() : 0;
     auto &Known = Upstream.Known;
     const bool Fell = Limit < Known.Limit;
-    const bool Rose = Limit > Known.Limit &&
+    const bool Rose = Limit * 4 >= Known.Limit * 5 && Limit > Known.Limit &&
                       Now - Upstream.NoticedAt >= Options.LimitNoticeInterval;
     if (!Fell && !Rose && Known.Notice > 0) {
       continue;
--- a/src/pool/grantor.h
+++ b/src/pool/grantor.h
@@ -42,8 +42,9 @@
   duration BusyPeriodGap = 1s;
   /// Time between two spreads of the reserve.
   duration ReserveInterval = 100ms;
-  /// Time between notices of a rising limit; a fall is told at once.
-  duration LimitNoticeInterval = 5s;
+  /// Time between notices of a limit that rose by a quarter or more; a fall is
+  /// told at once.
+  duration LimitNoticeInterval = 1s;
   /// Silence after which a router gets no new slots.
   duration RouterSilence = 500ms;
   breaker_options Breaker;
@@ -166,7 +167,8 @@
                   instant Now);
   void countOutcomes(upstream_state &Upstream, const upstream_usage &Before,
                      const upstream_usage &After, instant Now);
-  void applyTeam(router_session &Router, const team_usage &Usage, instant Now);
+  void applyTeam(router_session &Router, const team_usage &Usage, bool Charges,
+                 instant Now);
   void updateDemand(const router_session &Router, team_id Team,
                     std::uint32_t Count, instant Now);
   void updateReachable(instant Now);
--- a/src/pool/router_session.h
+++ b/src/pool/router_session.h
@@ -87,6 +87,8 @@
 
   member Member;
   bool Reported = false;
+  /// True if the session is older than the grantor's picture of virtual times.
+  bool Early = false;
   /// True while new slots may be granted to it.
   bool Reachable = false;
   /// Mode that the entries pushed so far have told it.
--- a/tests/pool/fleet_world.h
+++ b/tests/pool/fleet_world.h
@@ -122,7 +122,7 @@
   node_id GrantorNode{};
   std::mt19937_64 Random;
 
-  std::uint64_t Frames = 0, Bytes = 0, Dispatched = 0, Rejected = 0;
+  std::uint64_t Frames = 0, Dispatched = 0, Rejected = 0;
   std::uint64_t ReportBytes = 0, GrantBytes = 0, Granted = 0;
   /// Broken invariants, as text with the time; empty in a correct run.
   std::vector<std::string> Faults;
@@ -301,7 +301,6 @@
       return;
     }
     for (const auto &[Id, Upstream] : Upstreams) {
-      // The figures are up to 100 ms old when they are read.
       if (Grantor && Measured.count(Id) > 0) {
         Grantor->onLoadReport(Id,
                               {static_cast<incarnation>(Upstream.Incarnation),
@@ -398,7 +397,6 @@
     Router.Waiting.clear();
     account_options Account;
     Account.TeamQueueLimit = 100000;
-    // Requests that the old process left running end at the upstream only.
     Router.Account = std::make_unique<credit_account>(
         pool_id{1}, static_cast<incarnation>(Router.Incarnation), Account);
     Router.Up = Router.Connected = true;
@@ -453,7 +451,6 @@
 
   void send(message Message) {
     ++Frames;
-    Bytes += Message.Payload.size();
     const auto Draw = std::uniform_real_distribution<double>(0, 1)(Random);
     const auto Late = Options.Jitter == duration{}
                           ? duration{}
--- a/tests/pool/test_fleet.cpp
+++ b/tests/pool/test_fleet.cpp
@@ -1,8 +1,8 @@
 #include "fleet_world.h"
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
-#include <iostream>
+#include <fstream>
+#include <sstream>
 
 using namespace arbutus;
 using namespace arbutus::pool;
@@ -140,8 +140,7 @@
   sim_options Options;
   Options.Seed = Seed;
   Options.Routers = Routers;
-  Options.Length =
-      getenv("LEN") ? duration(atoi(getenv("LEN")) * 1000000LL) : 10s;
+  Options.Length = 10s;
   Options.Teams = usualTeams();
   Case.Adjust(Options);
   auto World = std::make_unique<fleet_world>(Options, makeInput(Options));
@@ -150,82 +149,181 @@
   return World;
 }
 
-} // namespace
+/// Sessions of one case with one number of routers.
+struct summary {
+  double Gap = 0, NaiveGap = 0;
+  duration LongestIdle{}, LongestStarved{};
+  std::vector<std::string> Faults;
+};
 
-TEST_CASE("probe", "[.]") {
-  const int Seeds = atoi(getenv("SEEDS"));
-  int Left = getenv("N") ? atoi(getenv("N")) : 99;
-  for (const auto &Case : cases()) {
-    if (Left-- == 0) break;
-    for (std::uint32_t Routers : {3, 12, 24}) {
-      double RB = 0, MaxG = 0, MaxN = 0;
-      double Worst = 0, Sum = 0, Idle = 0;
-      std::int64_t Longest = 0, Starved = 0;
-      int At = 0;
-      for (int S = 1; S <= Seeds; ++S) {
-        auto W = session(Case, Routers, S);
-        double Ratio = W->Gap.Largest / W->Naive.Gap.Largest;
-        if (Ratio > Worst) {
-          Worst = Ratio;
-          At = S;
-        }
-        MaxG = std::max(MaxG, W->Gap.Largest);
-        MaxN = std::max(MaxN, W->Naive.Gap.Largest);
-        Sum += Ratio; RB = double(W->ReportBytes + W->GrantBytes) / W->Granted;
-        Idle = std::max(Idle, W->Idle.share());
-        Longest = std::max(Longest, toMicros(W->Idle.Longest));
-        Starved = std::max(Starved, toMicros(W->LongestStarved));
-        for (auto &F : W->Faults)
-          std::cout << "   " << S << ": " << F << "\n";
+constexpr std::uint64_t Seeds = 6;
+
+/// Runs each session once for all tests.
+const summary &results(std::size_t Case, std::uint32_t Routers) {
+  static std::map<std::pair<std::size_t, std::uint32_t>, summary> Known;
+  const auto [Found, New] = Known.try_emplace({Case, Routers});
+  auto &Summary = Found->second;
+  for (std::uint64_t Seed = 1; New && Seed <= Seeds; ++Seed) {
+    const auto World = session(cases()[Case], Routers, Seed);
+    Summary.Gap = std::max(Summary.Gap, World->Gap.Largest);
+    Summary.NaiveGap = std::max(Summary.NaiveGap, World->Naive.Gap.Largest);
+    Summary.LongestIdle = std::max(Summary.LongestIdle, World->Idle.Longest);
+    Summary.LongestStarved =
+        std::max(Summary.LongestStarved, World->LongestStarved);
+    for (const auto &Fault : World->Faults) {
+      Summary.Faults.push_back("seed " + std::to_string(Seed) + " " + Fault);
+    }
+  }
+  return Summary;
+}
+
+/// The stated target.
+constexpr double MostGapRatio = 1.25;
+
+void checkGaps(bool Takeover) {
+  for (std::size_t I = 0; I < cases().size(); ++I) {
+    const auto &Case = cases()[I];
+    const bool Lost =
+        std::string(Case.Name).find("grantor") != std::string::npos;
+    for (const std::uint32_t Routers : {3, 12, 24}) {
+      if (Lost == Takeover) {
+        INFO(Case.Name << ", " << Routers << " routers, seeds 1 to " << Seeds);
+        const auto &Summary = results(I, Routers);
+        CHECK(Summary.Gap <= MostGapRatio * Summary.NaiveGap);
       }
-      std::cout << Case.Name << " " << Routers << " all " << MaxG / MaxN
-                << " worst " << Worst << " @" << At << " mean " << Sum / Seeds
-                << " B " << RB << " idle " << Idle << " longest " << Longest << "/"
-                << toMicros(Case.IdleBound) << " starved " << Starved
-                << std::endl;
     }
   }
 }
-TEST_CASE("detail", "[.]") {
-  const auto &Case = cases()[atoi(getenv("CASE"))];
+
+std::string goldenLines() {
   sim_options Options;
-  Options.Seed = atoi(getenv("SEED"));
-  Options.Routers = atoi(getenv("R"));
-  Options.Length = 10s;
+  Options.Upstreams = 2;
+  Options.Ceiling = 3;
+  Options.FirstLimit = 1;
+  Options.Length = 8s;
+  Options.Teams = {{0.9, 1, {}, instant{} + 5s, 0},
+                   {0.6, 2, instant{} + 1s, instant{} + 5s, 1},
+                   {0.1, 1, {}, instant::max(), {}}};
+  fleet_world World(Options, makeInput(Options));
+  World.at(2s, [](auto &W) { W.turnCold(1, false); });
+  World.at(3s, [](auto &W) { W.loseGrantor(); });
+  World.at(5s, [](auto &W) { W.Upstreams[upstream_id{2}].Failing = true; });
+  World.at(6s, [](auto &W) { W.Upstreams[upstream_id{2}].Failing = false; });
+  std::ostringstream Out;
+  World.OnDecisions = [&](instant Now, const decisions &Decisions) {
+    for (const auto &Item : Decisions.Granted) {
+      Out << toMicros(Now) << "us granted team="
+          << (Item.Team ? std::to_string(number(*Item.Team)) : "none")
+          << " upstream=" << number(Item.Upstream)
+          << " node=" << number(Item.Node) << " count=" << Item.Count
+          << " reason=" << nameOf(Item.Reason) << "\n";
+    }
+    for (const auto &Item : Decisions.Limits) {
+      Out << toMicros(Now) << "us limit upstream=" << number(Item.Upstream)
+          << " from=" << Item.Before << " to=" << Item.After
+          << " cause=" << nameOf(Item.Cause) << "\n";
+    }
+    for (const auto &Item : Decisions.Breakers) {
+      Out << toMicros(Now) << "us breaker upstream=" << number(Item.Upstream)
+          << " state=" << nameOf(Item.State) << "\n";
+    }
+    if (Decisions.Contended) {
+      Out << toMicros(Now)
+          << "us contended=" << (*Decisions.Contended ? "true" : "false")
+          << "\n";
+    }
+  };
+  World.run();
+  return Out.str();
+}
+
+} // namespace
+
+// Guards against grants beyond a limit, dispatch without a lease or to an
+// unusable upstream, and more than a cold upstream bears, under every fault.
+TEST_CASE("slots stay within limits under every fault") {
+  for (std::size_t I = 0; I < cases().size(); ++I) {
+    for (const std::uint32_t Routers : {3, 12, 24}) {
+      INFO(cases()[I].Name << ", " << Routers << " routers");
+      CHECK(results(I, Routers).Faults == std::vector<std::string>());
+    }
+  }
+}
+
+// Guards against slots that stay idle although a request waits.
+TEST_CASE("no slot is idle beyond the delay while work waits") {
+  for (std::size_t I = 0; I < cases().size(); ++I) {
+    for (const std::uint32_t Routers : {3, 12, 24}) {
+      INFO(cases()[I].Name << ", " << Routers << " routers");
+      CHECK(results(I, Routers).LongestIdle <= cases()[I].IdleBound);
+    }
+  }
+}
+
+// Guards against a team that waits while others are served: beyond the time
+// without slots, no more than the longest request (1.5 s) and a margin.
+TEST_CASE("no team starves") {
+  for (std::size_t I = 0; I < cases().size(); ++I) {
+    for (const std::uint32_t Routers : {3, 12, 24}) {
+      INFO(cases()[I].Name << ", " << Routers << " routers");
+      CHECK(results(I, Routers).LongestStarved <= cases()[I].IdleBound + 2s);
+    }
+  }
+}
+
+// Guards against a gap that grows with the number of routers.
+TEST_CASE("the gap stays near the naive one") { checkGaps(false); }
+
+// Guards against teams that gain or lose by a change of the grantor.
+TEST_CASE("the gap stays near the naive one over a takeover") {
+  checkGaps(true);
+}
+
+// Guards against a gap that grows with time.
+TEST_CASE("the gap does not grow with time") {
+  double Largest = 0, Naive = 0;
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+    sim_options Options;
+    Options.Seed = Seed;
+    Options.Routers = 12;
+    Options.Length = 60s;
+    Options.Teams = usualTeams();
+    fleet_world World(Options, makeInput(Options));
+    World.run();
+    Largest = std::max(Largest, World.Gap.Largest);
+    Naive = std::max(Naive, World.Naive.Gap.Largest);
+  }
+  CHECK(Largest <= MostGapRatio * Naive);
+}
+
+// Guards against messages that exceed the budget of 23 KB/s per node at 110
+// grants/s. Payloads only: the frame header is not part of this module.
+TEST_CASE("messages keep to the byte budget") {
+  sim_options Options;
+  Options.Routers = 12;
+  Options.Upstreams = 4;
   Options.Teams = usualTeams();
-  Case.Adjust(Options);
-  fleet_world W(Options, makeInput(Options));
-  Case.Arrange(W);
-  const int From = atoi(getenv("FROM")), To = atoi(getenv("TO")),
-            By = atoi(getenv("BY"));
-  for (int T = From; T < To; T += By)
-    W.at(duration(T * 1000), [T](auto &V) {
-      auto S = V.Floor.served(V.Options.Teams, V.Now),
-           N = V.Naive.Floor.served(V.Options.Teams, V.Now);
-      std::cout << T;
-      std::cout << " longest " << toMicros(V.Idle.Longest)
-                << (V.Grantor && V.Grantor->contended() ? " C " : " U ");
-      for (int I = 1; I <= 8; ++I) {
-        auto Id = static_cast<team_id>(I);
-        int Wt = 0;
-        for (auto &R : V.Routers)
-          Wt += R.Account->waiting(Id);
-        std::cout << " | " << std::llround(S[Id]) << "/" << std::llround(N[Id])
-                  << " w" << Wt << "/" << V.Naive.Scheduler.waiting(Id) << " v"
-                  << (V.Grantor ? std::llround(V.Grantor->virtualTime(Id)) : 0);
-      }
-      int U = 0, M = 0;
-      for (auto &[Id, X] : V.Floor.Used)
-        U += X;
-      for (auto &[Id, X] : V.Naive.Floor.Used)
-        M += X;
-      std::cout << " used " << U << "/" << M << "\n";
-    });
-  W.run();
-  std::cout << "gap " << W.Gap.Largest << " " << number(W.Gap.Teams.first)
-            << "," << number(W.Gap.Teams.second) << " at " << toMicros(W.Gap.At)
-            << " naive " << W.Naive.Gap.Largest << " at "
-            << toMicros(W.Naive.Gap.At) << " "
-            << number(W.Naive.Gap.Teams.first) << ","
-            << number(W.Naive.Gap.Teams.second) << "\n";
+  fleet_world World(Options, makeInput(Options));
+  World.run();
+  const double Bytes =
+      static_cast<double>(World.ReportBytes + World.GrantBytes);
+  const auto PerGrant = Bytes / static_cast<double>(World.Granted);
+  WARN("payload per grant " << PerGrant << " B, at 110 grants/s "
+                            << PerGrant * 110 << " B/s");
+  CHECK(PerGrant * 110 <= 23000);
+}
+
+// Guards against unintended changes of any decision. To write the file anew:
+// ARBUTUS_WRITE_GOLDEN=1 build/test_pool "a whole session as text"
+TEST_CASE("a whole session as text") {
+  const auto Path =
+      std::string(ARBUTUS_SOURCE_DIR) + "/tests/golden/pool_session.txt";
+  const auto Lines = goldenLines();
+  if (std::getenv("ARBUTUS_WRITE_GOLDEN") != nullptr) {
+    std::ofstream(Path) << Lines;
+  }
+  std::ifstream File(Path);
+  std::stringstream Expected;
+  Expected << File.rdbuf();
+  CHECK(Lines == Expected.str());
 }
