--- /dev/null
+++ b/src/control/node_session.h
@@ -0,0 +1,122 @@
+#ifndef ARBUTUS_CONTROL_NODE_SESSION_H
+#define ARBUTUS_CONTROL_NODE_SESSION_H
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/name_table.h"
+
+#include <cstdint>
+#include <string>
+
+namespace arbutus::control {
+
+/// What a node tells about itself.
+struct node_info {
+  node_id Node{};
+  std::string Name;
+  std::string FailureDomain;
+  std::string Region;
+  /// `ip:port` for callers and operators.
+  std::string HttpAddress;
+  /// `ip:port` of the peer mesh.
+  std::string MeshAddress;
+  bool Router = false;
+  bool Control = false;
+
+  friend bool operator==(const node_info &, const node_info &) = default;
+};
+
+struct heartbeat {
+  node_info Info;
+  incarnation Incarnation{};
+  /// Newest configuration that the node has in force.
+  revision Applied{};
+  /// Microseconds on the sender's own monotonic clock; echoed in the answer.
+  std::int64_t SendTime = 0;
+  bool Leaving = false;
+};
+
+enum class lease_outcome {
+  Granted,
+  /// The session of this incarnation has ended, or a newer incarnation has
+  /// been seen. The node must come back with a larger one.
+  IncarnationClosed,
+};
+
+struct lease_answer {
+  lease_outcome Outcome = lease_outcome::IncarnationClosed;
+  /// Counted by the holder from `SendTime`, on its own clock. Zero unless
+  /// granted.
+  duration Lease{};
+  std::int64_t SendTime = 0;
+  /// When refused, the node must choose an incarnation larger than this one.
+  incarnation Closed{};
+};
+
+enum class session_event_kind {
+  Joined,
+  Suspected,
+  Recovered,
+  Ended,
+  Leaving,
+  /// A newer incarnation has replaced `Incarnation`, whose session is over.
+  Restarted,
+};
+
+/// A change of one session, in the order in which the changes happened. After
+/// `Ended` and `Restarted` the open claims of `Incarnation` are unknown.
+struct session_event {
+  session_event_kind Kind{};
+  node_id Node{};
+  incarnation Incarnation{};
+  /// Only for `Restarted`.
+  incarnation Successor{};
+
+  friend bool operator==(const session_event &,
+                         const session_event &) = default;
+};
+
+/// A node whose session has not ended.
+struct live_node {
+  node_info Info;
+  incarnation Incarnation{};
+  revision Applied{};
+  bool Suspected = false;
+  bool Leaving = false;
+};
+
+/// What a new leader knows about a node from the replicated log or from the
+/// sessions that it has heard of as a follower.
+struct known_node {
+  node_info Info;
+  /// Incarnation whose session may still hold a lease; 0 if there is none.
+  incarnation Incarnation{};
+  /// Newest incarnation whose session has ended; 0 if there is none.
+  incarnation Closed{};
+  bool Leaving = false;
+};
+
+} // namespace arbutus::control
+
+namespace arbutus {
+
+template <> struct name_table<control::lease_outcome> {
+  using outcome_code = control::lease_outcome;
+  static constexpr name_row<outcome_code> Rows[] = {
+      {outcome_code::Granted, "granted"},
+      {outcome_code::IncarnationClosed, "incarnation_closed"},
+  };
+};
+
+template <> struct name_table<control::session_event_kind> {
+  using kind = control::session_event_kind;
+  static constexpr name_row<kind> Rows[] = {
+      {kind::Joined, "joined"},       {kind::Suspected, "suspected"},
+      {kind::Recovered, "recovered"}, {kind::Ended, "ended"},
+      {kind::Leaving, "leaving"},     {kind::Restarted, "restarted"},
+  };
+};
+
+} // namespace arbutus
+
+#endif
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,115 @@
+#ifndef ARBUTUS_SETTINGS_SETTINGS_H
+#define ARBUTUS_SETTINGS_SETTINGS_H
+
+#include "base/ids.h"
+#include "base/log.h"
+#include "base/result.h"
+#include "settings/endpoint.h"
+#include "settings/settings_error.h"
+
+#include <chrono>
+#include <cstddef>
+#include <filesystem>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace arbutus::settings {
+
+/// `[node]`: what this process is and where it stands.
+struct node_settings {
+  node_id Id{};
+  std::string Name;
+  bool Router = false;
+  bool Control = false;
+  std::string FailureDomain;
+  std::string Region;
+  /// Empty unless the process is a voter.
+  std::filesystem::path DataDirectory;
+};
+
+/// `[listen]`: where the process accepts connections.
+struct listen_settings {
+  endpoint Http;
+  endpoint Mesh;
+  /// I/O shards, 1 to 64.
+  int Threads = 1;
+};
+
+/// One entry of `[fleet] control`.
+struct voter_settings {
+  node_id Id{};
+  endpoint Mesh;
+};
+
+/// `[fleet]`: what all processes of the fleet share.
+struct fleet_settings {
+  std::filesystem::path KeyFile;
+  /// Content of the key file without trailing line ends; at least 16 bytes.
+  std::string Key;
+  /// Lower-case hexadecimal SHA-256 of each operator key.
+  std::vector<std::string> OperatorKeyHashes;
+  /// The voters, in the order of the file.
+  std::vector<voter_settings> Control;
+  /// First start of a voter: an empty data directory is then not a lost disk.
+  bool Bootstrap = false;
+};
+
+/// One `[[peer]]` table: another process that this one dials.
+struct peer_settings {
+  node_id Id{};
+  endpoint Mesh;
+  endpoint Http;
+};
+
+/// `[log]`
+struct log_settings {
+  /// Empty for standard error.
+  std::filesystem::path Path;
+  log_level Level = log_level::Info;
+};
+
+/// `[limits]`
+struct limit_settings {
+  std::size_t HeaderBytes = 16384;
+  std::size_t BodyBytes = 1048576;
+  std::chrono::seconds Drain{30};
+};
+
+/// `[platform]`
+struct platform_settings {
+  /// Where the platform lists live and leaving VMs; empty when unused.
+  std::string VmListUrl;
+};
+
+/// `[testing]`
+struct testing_settings {
+  bool AllowFaultInjection = false;
+};
+
+/// All settings of one process, checked.
+struct settings {
+  /// The file that the settings were read from.
+  std::filesystem::path File;
+  node_settings Node;
+  listen_settings Listen;
+  fleet_settings Fleet;
+  std::vector<peer_settings> Peers;
+  log_settings Log;
+  limit_settings Limits;
+  platform_settings Platform;
+  testing_settings Testing;
+};
+
+/// Reads and checks a settings file together with its key file. On failure the
+/// result holds every fault of the file, in the order of lines.
+[[nodiscard]] result<settings, settings_errors>
+readSettings(const std::filesystem::path &File);
+
+/// Checks settings text as if it were the content of `File`.
+[[nodiscard]] result<settings, settings_errors>
+parseSettings(std::string_view Text, const std::filesystem::path &File);
+
+} // namespace arbutus::settings
+
+#endif
