Read and check the settings of a process

Cause: a process learns its identity, addresses and voters from a TOML file, and an operator needs all faults of that file at once. Change: typed settings with file, line, key, code, reason and suggestion for each fault; the fleet key is read from a file that only its owner may open. Conclusion: syntax errors are reported one at a time, because toml++ stops at the first; everything else is reported together.

--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,316 @@
+#include "settings/settings.h"
+
+#include "settings/key_file.h"
+#include "settings/nearest.h"
+#include "settings/table_reader.h"
+
+#include <algorithm>
+#include <cctype>
+#include <fstream>
+#include <set>
+#include <system_error>
+
+namespace arbutus::settings {
+
+namespace {
+
+using code = settings_error_code;
+using impl::presence;
+using impl::table_reader;
+
+constexpr impl::integer_range NodeNumbers{1, 65535};
+constexpr impl::integer_range ThreadCounts{1, 64};
+constexpr impl::integer_range HeaderSizes{1024, 1048576};
+constexpr impl::integer_range BodySizes{1024, 1073741824};
+constexpr impl::integer_range DrainSeconds{1, 3600};
+constexpr std::size_t Sha256HexDigits = 64;
+/// Bounds memory when the path names a wrong file.
+constexpr std::size_t LongestFileBytes = std::size_t{4} << 20U;
+
+struct level_name {
+  log_level Level;
+  const char *Name;
+};
+constexpr level_name LevelNames[] = {
+    {log_level::Debug, "debug"},
+    {log_level::Info, "info"},
+    {log_level::Warning, "warning"},
+    {log_level::Error, "error"},
+};
+
+template <class T, class Source>
+void assign(T &Target, std::optional<Source> &&Value) {
+  if (Value) {
+    Target = static_cast<T>(std::move(*Value));
+  }
+}
+
+void readRoles(table_reader &Reader, node_settings &Node,
+               impl::error_list &Errors) {
+  for (const auto &Role : Reader.texts("roles", presence::Required)) {
+    const bool IsRouter = Role.Value == "router";
+    if (!IsRouter && Role.Value != "control") {
+      Errors.add(Role.Line, Role.Key, code::InvalidValue,
+                 "unknown role \"" + Role.Value + "\"",
+                 nearest(Role.Value, {"router", "control"}));
+      continue;
+    }
+    bool &Present = IsRouter ? Node.Router : Node.Control;
+    if (Present) {
+      Errors.add(Role.Line, Role.Key, code::Duplicate,
+                 "role \"" + Role.Value + "\" is listed twice");
+    }
+    Present = true;
+  }
+}
+
+void readNode(table_reader Reader, node_settings &Node,
+              impl::error_list &Errors) {
+  assign(Node.Id, Reader.integer("id", NodeNumbers, presence::Required));
+  Node.Name = Reader.name("name", presence::Optional)
+                  .value_or("node-" + std::to_string(number(Node.Id)));
+  readRoles(Reader, Node, Errors);
+  assign(Node.FailureDomain, Reader.name("failure_domain", presence::Required));
+  assign(Node.Region, Reader.name("region", presence::Required));
+  assign(Node.DataDirectory,
+         Reader.path("data_directory",
+                     Node.Control ? presence::Required : presence::Optional));
+  Reader.finish();
+}
+
+void readListen(table_reader Reader, listen_settings &Listen) {
+  assign(Listen.Http, Reader.address("http", presence::Required, true));
+  assign(Listen.Mesh, Reader.address("mesh", presence::Required, true));
+  assign(Listen.Threads,
+         Reader.integer("threads", ThreadCounts, presence::Optional));
+  if (!Listen.Http.empty() && Listen.Http.Port != 0 &&
+      Listen.Http == Listen.Mesh) {
+    Reader.fail("mesh", code::Duplicate, "is the same address as listen.http");
+  }
+  Reader.finish();
+}
+
+void readKey(table_reader &Reader, fleet_settings &Fleet) {
+  assign(Fleet.KeyFile, Reader.path("key_file", presence::Required));
+  if (Fleet.KeyFile.empty()) {
+    return;
+  }
+  auto Key = readKeyFile(Fleet.KeyFile);
+  if (Key.has_error()) {
+    Reader.fail("key_file", code::KeyFile,
+                Fleet.KeyFile.string() + " " +
+                    std::string(reasonOf(Key.error())));
+    return;
+  }
+  Fleet.Key = std::move(Key).value();
+}
+
+void readKeyHashes(table_reader &Reader, fleet_settings &Fleet,
+                   impl::error_list &Errors) {
+  std::set<std::string> Seen;
+  for (auto &Hash : Reader.texts("operator_key_hashes", presence::Optional)) {
+    const bool IsHex =
+        Hash.Value.size() == Sha256HexDigits &&
+        std::all_of(Hash.Value.begin(), Hash.Value.end(),
+                    [](unsigned char Digit) { return std::isxdigit(Digit); });
+    if (!IsHex) {
+      Errors.add(Hash.Line, Hash.Key, code::InvalidValue,
+                 "must be a SHA-256 of 64 hexadecimal digits");
+      continue;
+    }
+    for (char &Digit : Hash.Value) {
+      Digit =
+          static_cast<char>(std::tolower(static_cast<unsigned char>(Digit)));
+    }
+    if (!Seen.insert(Hash.Value).second) {
+      Errors.add(Hash.Line, Hash.Key, code::Duplicate,
+                 "this hash is listed twice");
+      continue;
+    }
+    Fleet.OperatorKeyHashes.push_back(Hash.Value);
+  }
+}
+
+void readVoters(table_reader &Reader, fleet_settings &Fleet) {
+  std::set<node_id> Ids;
+  for (auto &Entry : Reader.tables("control", presence::Required)) {
+    voter_settings Voter;
+    assign(Voter.Id, Entry.integer("id", NodeNumbers, presence::Required));
+    assign(Voter.Mesh, Entry.address("mesh", presence::Required, false));
+    if (number(Voter.Id) != 0 && !Ids.insert(Voter.Id).second) {
+      Entry.fail("id", code::Duplicate,
+                 "node " + std::to_string(number(Voter.Id)) +
+                     " is listed twice");
+    }
+    Entry.finish();
+    Fleet.Control.push_back(std::move(Voter));
+  }
+}
+
+void readFleet(table_reader Reader, settings &Settings,
+               impl::error_list &Errors) {
+  auto &Fleet = Settings.Fleet;
+  readKey(Reader, Fleet);
+  readKeyHashes(Reader, Fleet, Errors);
+  readVoters(Reader, Fleet);
+  assign(Fleet.Bootstrap, Reader.boolean("bootstrap"));
+  const bool IsVoter = std::any_of(Fleet.Control.begin(), Fleet.Control.end(),
+                                   [&](const voter_settings &Voter) {
+                                     return Voter.Id == Settings.Node.Id;
+                                   });
+  if (Fleet.Bootstrap && (!Settings.Node.Control || !IsVoter)) {
+    Reader.fail("bootstrap", code::InvalidValue,
+                "needs the role \"control\" and this node in fleet.control");
+  }
+  Reader.finish();
+}
+
+void readPeers(table_reader &Root, settings &Settings) {
+  std::set<node_id> Ids;
+  std::set<std::string> Addresses;
+  for (const auto &Own : {Settings.Listen.Http, Settings.Listen.Mesh}) {
+    if (Own.Port != 0) {
+      Addresses.insert(Own.text());
+    }
+  }
+  for (auto &Entry : Root.tables("peer", presence::Optional)) {
+    peer_settings Peer;
+    assign(Peer.Id, Entry.integer("id", NodeNumbers, presence::Required));
+    assign(Peer.Mesh, Entry.address("mesh", presence::Required, false));
+    assign(Peer.Http, Entry.address("http", presence::Required, false));
+    Entry.finish();
+    const auto Number = std::to_string(number(Peer.Id));
+    if (number(Peer.Id) != 0) {
+      if (Peer.Id == Settings.Node.Id) {
+        Entry.fail("id", code::Duplicate, Number + " is this node's own id");
+      } else if (!Ids.insert(Peer.Id).second) {
+        Entry.fail("id", code::Duplicate,
+                   "node " + Number + " is listed twice");
+      }
+    }
+    for (const auto &[Key, Address] :
+         {std::pair("mesh", Peer.Mesh), std::pair("http", Peer.Http)}) {
+      const auto Text = Address.text();
+      if (!Text.empty() && !Addresses.insert(Text).second) {
+        Entry.fail(Key, code::Duplicate,
+                   Text + " is already the address of another listener");
+      }
+    }
+    for (const auto &Voter : Settings.Fleet.Control) {
+      if (Voter.Id == Peer.Id && !Peer.Mesh.empty() && !Voter.Mesh.empty() &&
+          !(Voter.Mesh == Peer.Mesh)) {
+        Entry.fail("mesh", code::InvalidValue,
+                   "differs from " + Voter.Mesh.text() +
+                       " in fleet.control for the same node");
+      }
+    }
+    Settings.Peers.push_back(std::move(Peer));
+  }
+}
+
+void readLog(table_reader Reader, log_settings &Log) {
+  assign(Log.Path, Reader.path("path", presence::Optional));
+  if (const auto Level = Reader.text("level", presence::Optional)) {
+    std::vector<std::string> Names;
+    bool Found = false;
+    for (const auto &Row : LevelNames) {
+      Names.emplace_back(Row.Name);
+      if (*Level == Row.Name) {
+        Log.Level = Row.Level;
+        Found = true;
+      }
+    }
+    if (!Found) {
+      Reader.fail("level", code::InvalidValue,
+                  "\"" + *Level +
+                      "\" is none of debug, info, warning and error",
+                  nearest(*Level, Names));
+    }
+  }
+  Reader.finish();
+}
+
+void readLimits(table_reader Reader, limit_settings &Limits) {
+  assign(Limits.HeaderBytes,
+         Reader.integer("header_bytes", HeaderSizes, presence::Optional));
+  assign(Limits.BodyBytes,
+         Reader.integer("body_bytes", BodySizes, presence::Optional));
+  assign(Limits.Drain,
+         Reader.integer("drain_seconds", DrainSeconds, presence::Optional));
+  Reader.finish();
+}
+
+void readPlatform(table_reader Reader, platform_settings &Platform) {
+  assign(Platform.VmListUrl, Reader.text("vm_list_url", presence::Optional));
+  const auto &Url = Platform.VmListUrl;
+  if (!Url.empty() && Url.rfind("http://", 0) != 0 &&
+      Url.rfind("https://", 0) != 0) {
+    Reader.fail("vm_list_url", code::InvalidValue,
+                "must begin with http:// or https://");
+  }
+  Reader.finish();
+}
+
+settings readAll(const toml::table &Document, const std::filesystem::path &File,
+                 impl::error_list &Errors) {
+  settings Settings;
+  Settings.File = File;
+  table_reader Root(&Document, "", 1, Errors);
+  readNode(Root.table("node"), Settings.Node, Errors);
+  readListen(Root.table("listen"), Settings.Listen);
+  readFleet(Root.table("fleet"), Settings, Errors);
+  readPeers(Root, Settings);
+  readLog(Root.table("log"), Settings.Log);
+  readLimits(Root.table("limits"), Settings.Limits);
+  readPlatform(Root.table("platform"), Settings.Platform);
+  auto Testing = Root.table("testing");
+  assign(Settings.Testing.AllowFaultInjection,
+         Testing.boolean("allow_fault_injection"));
+  Testing.finish();
+  Root.finish();
+  return Settings;
+}
+
+} // namespace
+
+result<settings, settings_errors>
+readSettings(const std::filesystem::path &File) {
+  std::ifstream Stream(File, std::ios::binary);
+  std::string Text;
+  std::error_code Ignored;
+  if (std::filesystem::is_regular_file(File, Ignored) && Stream) {
+    Text.resize(LongestFileBytes + 1);
+    Stream.read(Text.data(), static_cast<std::streamsize>(Text.size()));
+    Text.resize(static_cast<std::size_t>(Stream.gcount()));
+  } else {
+    return settings_errors{
+        {File.string(), 0, "", code::UnreadableFile, "cannot be read", ""}};
+  }
+  if (Text.size() > LongestFileBytes) {
+    return settings_errors{
+        {File.string(), 0, "", code::UnreadableFile, "is over 4 MiB", ""}};
+  }
+  return parseSettings(Text, File);
+}
+
+result<settings, settings_errors>
+parseSettings(std::string_view Text, const std::filesystem::path &File) {
+  impl::error_list Errors{File.string(), {}};
+  try {
+    const toml::table Document = toml::parse(Text, File.string());
+    settings Settings = readAll(Document, File, Errors);
+    if (Errors.Errors.empty()) {
+      return Settings;
+    }
+  } catch (const toml::parse_error &Error) {
+    Errors.add(static_cast<int>(Error.source().begin.line), "", code::Syntax,
+               std::string(Error.description()));
+  }
+  std::stable_sort(Errors.Errors.begin(), Errors.Errors.end(),
+                   [](const settings_error &Left, const settings_error &Right) {
+                     return Left.Line < Right.Line;
+                   });
+  return std::move(Errors.Errors);
+}
+
+} // namespace arbutus::settings
--- /dev/null
+++ b/tests/settings/test_settings.cpp
@@ -0,0 +1,222 @@
+#include "base/digest.h"
+#include "settings/settings.h"
+#include <catch2/catch.hpp>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <fstream>
+
+using namespace arbutus;
+using namespace arbutus::settings;
+using code = settings_error_code;
+
+namespace {
+
+/// A new folder with a valid key file, removed at the end.
+struct scratch_folder {
+  scratch_folder() {
+    std::string Template =
+        (std::filesystem::temp_directory_path() / "arbutus-XXXXXX").string();
+    REQUIRE(mkdtemp(Template.data()) != nullptr);
+    Path = Template;
+    write("fleet.key", "0123456789abcdef0123456789abcdef\n", 0600);
+  }
+  scratch_folder(const scratch_folder &) = delete;
+  scratch_folder &operator=(const scratch_folder &) = delete;
+  ~scratch_folder() { std::filesystem::remove_all(Path); }
+
+  void write(const std::string &Name, const std::string &Text,
+             mode_t Mode) const {
+    std::ofstream(Path / Name) << Text;
+    REQUIRE(chmod((Path / Name).c_str(), Mode) == 0);
+  }
+
+  std::filesystem::path Path;
+};
+
+const std::string Valid = R"([node]
+id = 1
+name = "entry-1"
+roles = ["router", "control"]
+failure_domain = "a"
+region = "nz-north"
+data_directory = "data"
+[listen]
+http = "127.0.0.1:8080"
+mesh = "127.0.0.1:7070"
+threads = 2
+[fleet]
+key_file = "fleet.key"
+operator_key_hashes = []
+bootstrap = true
+control = [ { id = 1, mesh = "127.0.0.1:7070" },
+            { id = 2, mesh = "127.0.0.1:7071" } ]
+[[peer]]
+id = 2
+mesh = "127.0.0.1:7071"
+http = "127.0.0.1:8081"
+[log]
+path = "logs/a.log"
+level = "warning"
+[limits]
+body_bytes = 2048
+[testing]
+allow_fault_injection = true
+)";
+
+/// Replaces the only line that begins with `Line`.
+std::string edited(const std::string &Line, const std::string &By) {
+  std::string Text = Valid;
+  const auto Start = Text.find("\n" + Line);
+  REQUIRE(Start != std::string::npos);
+  const auto End = Text.find('\n', Start + 1);
+  return Text.replace(Start + 1, End - Start - 1, By);
+}
+
+} // namespace
+
+// Guards against a key that is read into the wrong member or without default.
+TEST_CASE("a valid file gives every setting") {
+  const scratch_folder Folder;
+  Folder.write("node.toml", Valid, 0600);
+  const auto Read = readSettings(Folder.Path / "node.toml");
+  REQUIRE(Read.has_value());
+  const auto &Settings = Read.value();
+  CHECK(Settings.Node.Id == node_id{1});
+  CHECK(Settings.Node.Name == "entry-1");
+  CHECK((Settings.Node.Router && Settings.Node.Control));
+  CHECK(Settings.Node.DataDirectory == Folder.Path / "data");
+  CHECK(Settings.Listen.Http.text() == "127.0.0.1:8080");
+  CHECK(Settings.Listen.Threads == 2);
+  CHECK(Settings.Fleet.Key == "0123456789abcdef0123456789abcdef");
+  REQUIRE(Settings.Fleet.Control.size() == 2);
+  CHECK(Settings.Fleet.Control[1].Id == node_id{2});
+  CHECK(Settings.Fleet.Bootstrap);
+  REQUIRE(Settings.Peers.size() == 1);
+  CHECK(Settings.Peers[0].Http.Port == 8081);
+  CHECK(Settings.Log.Path == Folder.Path / "logs/a.log");
+  CHECK(Settings.Log.Level == log_level::Warning);
+  CHECK(Settings.Limits.HeaderBytes == 16384);
+  CHECK(Settings.Limits.BodyBytes == 2048);
+  CHECK(Settings.Limits.Drain.count() == 30);
+  CHECK(Settings.Testing.AllowFaultInjection);
+}
+
+// Guards against a faulty key that is accepted or blamed on the wrong place.
+TEST_CASE("each fault has its line, key, code and suggestion") {
+  const scratch_folder Folder;
+  Folder.write("open.key", "0123456789abcdef", 0640);
+  Folder.write("short.key", "0123456789\n\n\n\n\n\n\n", 0600);
+  const auto H = sha256Hex("key");
+  struct row {
+    std::string Line;
+    std::string By;
+    int At;
+    std::string Key;
+    code Code;
+    std::string Suggestion;
+  };
+  const std::vector<row> Rows = {
+      {"id = 1", "id = 0", 2, "node.id", code::OutOfRange, ""},
+      {"id = 1", "id = 65536", 2, "node.id", code::OutOfRange, ""},
+      {"id = 1", "id = \"1\"", 2, "node.id", code::WrongType, ""},
+      {"id = 1", "", 1, "node.id", code::MissingKey, ""},
+      {"name", "name = \"a b\"", 3, "node.name", code::InvalidValue, ""},
+      {"name", "nmae = \"a\"", 3, "node.nmae", code::UnknownKey, "name"},
+      {"region", "region = ''", 6, "node.region", code::InvalidValue, ""},
+      {"data_dir", "", 1, "node.data_directory", code::MissingKey, ""},
+      {"threads", "threads = 65", 11, "listen.threads", code::OutOfRange, ""},
+      {"threads", "Thread = 1", 11, "listen.Thread", code::UnknownKey,
+       "threads"},
+      {"threads", "zzzzzz = 1", 11, "listen.zzzzzz", code::UnknownKey, ""},
+      {"http", "http = \"localhost:80\"", 9, "listen.http", code::InvalidValue,
+       ""},
+      {"http", "http = \"0.0.0.0:80\"", 9, "listen.http", code::InvalidValue,
+       ""},
+      {"mesh", "mesh = \"127.0.0.1:8080\"", 10, "listen.mesh", code::Duplicate,
+       ""},
+      {"key_file", "key_file = \"none\"", 13, "fleet.key_file", code::KeyFile,
+       ""},
+      {"key_file", "key_file = \"open.key\"", 13, "fleet.key_file",
+       code::KeyFile, ""},
+      {"key_file", "key_file = \"short.key\"", 13, "fleet.key_file",
+       code::KeyFile, ""},
+      {"operator_key", "operator_key_hashes = [\"12\"]", 14,
+       "fleet.operator_key_hashes[0]", code::InvalidValue, ""},
+      {"operator_key", "operator_key_hashes = ['" + H + "', '" + H + "']", 14,
+       "fleet.operator_key_hashes[1]", code::Duplicate, ""},
+      {"roles", "roles = [\"control\", \"ruoter\"]", 4, "node.roles[1]",
+       code::InvalidValue, "router"},
+      {"            { id = 2",
+       "            { id = 1, mesh = \"127.0.0.1:7071\" } ]", 17,
+       "fleet.control[1].id", code::Duplicate, ""},
+      {"            { id = 2",
+       "            { id = 2, mesh = \"127.0.0.1:7\" } ]", 20, "peer[0].mesh",
+       code::InvalidValue, ""},
+      {"id = 2", "id = 1", 19, "peer[0].id", code::Duplicate, ""},
+      {"level", "level = \"warn\"", 24, "log.level", code::InvalidValue,
+       "warning"},
+      {"level", "level = \"eror\"", 24, "log.level", code::InvalidValue,
+       "error"},
+      {"[log]", "[lgo]", 22, "lgo", code::UnknownKey, "log"},
+      {"[[peer]]", "[[peer]", 18, "", code::Syntax, ""},
+      {"[testing]", "[platform]\nvm_list_url = \"ftp://x\"\n[testing]", 28,
+       "platform.vm_list_url", code::InvalidValue, ""},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Line, Row.By);
+    const auto Read =
+        parseSettings(edited(Row.Line, Row.By), Folder.Path / "n.toml");
+    REQUIRE(Read.has_error());
+    bool Found = false;
+    for (const auto &Error : Read.error()) {
+      CAPTURE(describe({Error}));
+      CHECK(Error.File == (Folder.Path / "n.toml").string());
+      Found = Found ||
+              (Error.Line == Row.At && Error.Key == Row.Key &&
+               Error.Code == Row.Code && Error.Suggestion == Row.Suggestion);
+    }
+    CAPTURE(describe(Read.error()));
+    CHECK(Found);
+  }
+}
+
+// Guards against an operator who must start a process once per fault.
+TEST_CASE("all faults of a file are reported at once, in the order of lines") {
+  const auto Read = parseSettings("[listen]\nhtpp = \"127.0.0.1:1\"\nthreads = "
+                                  "0\n[node]\nid = -1\n",
+                                  "n.toml");
+  REQUIRE(Read.has_error());
+  const auto Text = describe(Read.error());
+  CAPTURE(Text);
+  CHECK(Text.find("n.toml:2: listen.htpp: unknown key (did you mean "
+                  "\"http\"?)\n") != std::string::npos);
+  for (const std::string Key :
+       {"listen.http: is required", "listen.mesh: is required",
+        "n.toml:3: listen.threads: 0 is not in 1..64", "node.id: -1 is not in",
+        "node.roles: is required", "node.failure_domain: is required",
+        "node.region: is required", "fleet.key_file: is required",
+        "fleet.control: is required"}) {
+    CAPTURE(Key);
+    CHECK(Text.find(Key) != std::string::npos);
+  }
+  for (std::size_t I = 1; I < Read.error().size(); ++I) {
+    CHECK(Read.error()[I - 1].Line <= Read.error()[I].Line);
+  }
+  CHECK(readSettings("/nonexistent").error()[0].Code == code::UnreadableFile);
+}
+
+// Guards against addresses that need a name server or lose their port.
+TEST_CASE("parseEndpoint accepts numeric addresses only") {
+  for (const std::string Text : {"1.2.3.4:80", "[::1]:65535", "1.2.3.4:0"}) {
+    CAPTURE(Text);
+    REQUIRE(parseEndpoint(Text).has_value());
+    CHECK(parseEndpoint(Text)->text() == Text);
+  }
+  for (const std::string Text :
+       {"", ":80", "1.2.3.4", "1.2.3.4:", "1.2.3.4:65536", "1.2.3.4:-1",
+        "1.2.3.4:8x", "1.2.3:80", "::1:80", "[1.2.3.4]:80", "host:80"}) {
+    CAPTURE(Text);
+    CHECK_FALSE(parseEndpoint(Text).has_value());
+  }
+}
