Exchange authenticated frames between processes

Change: pure frame format and replay guard; a bounded queue per peer in frames and bytes; peers can change while the mesh runs; a silent peer is dialed anew. A frame names its receiver, so that one for a reused address is dropped. In a loop of such runs one hung in nng_close at the end of the case "peers are reached again after restarts and changes". Conclusion: not ready to land before the hang at shutdown is understood.

--- /dev/null
+++ b/src/net/peer_mesh.cpp
@@ -0,0 +1,304 @@
+#include "net/peer_mesh.h"
+
+#include "base/log.h"
+#include "net/mesh_frame.h"
+#include "net/peer_link.h"
+#include "net/replay_guard.h"
+#include <nng/protocol/pipeline0/pull.h>
+
+#include <atomic>
+#include <map>
+#include <shared_mutex>
+#include <stdexcept>
+#include <thread>
+#include <unordered_map>
+
+namespace arbutus::net {
+
+namespace {
+
+/// How often the receive thread looks for silent peers.
+constexpr duration RedialCheckPeriod = 500ms;
+/// Bounds the delay of that check while no frame arrives.
+constexpr nng_duration ReceiveWaitMillis = 500;
+struct atomic_kind_counters {
+  std::atomic<std::uint64_t> FramesSent = 0;
+  std::atomic<std::uint64_t> BytesSent = 0;
+  std::atomic<std::uint64_t> FramesReceived = 0;
+  std::atomic<std::uint64_t> BytesReceived = 0;
+};
+
+using impl::peer_link;
+using link_map = std::map<node_id, std::shared_ptr<peer_link>>;
+
+} // namespace
+
+struct peer_mesh::state {
+  mesh_options Options;
+  mesh_receiver Receiver;
+  impl::link_context Context;
+  std::string Address;
+  nng_socket Socket = NNG_SOCKET_INITIALIZER;
+  std::thread Thread;
+  std::atomic<bool> Stopping = false;
+
+  std::array<atomic_kind_counters, MessageKindSlots> Kinds;
+  std::array<std::atomic<std::uint64_t>, MeshDropCount> Drops{};
+
+  /// Guards `Links` and `Cut`, never held while waiting.
+  std::shared_mutex Mutex;
+  link_map Links;
+  std::set<node_id> Cut;
+  /// Serializes `setPeers`, redials and the destructor.
+  std::mutex PeersMutex;
+
+  /// Used by the receive thread only.
+  replay_guard Guard;
+  std::unordered_map<node_id, instant> LastReceived;
+  instant LastRedialCheck;
+
+  state(mesh_options Given, mesh_receiver Receiver)
+      : Options(std::move(Given)), Receiver(std::move(Receiver)) {
+    Context.Self = Options.Self;
+    Context.Incarnation = Options.Incarnation;
+    Context.FleetKey = Options.FleetKey;
+    Context.QueueFrames = Options.QueueFrames;
+    Context.QueueBytes = Options.QueueBytes;
+  }
+  state(const state &) = delete;
+  state &operator=(const state &) = delete;
+  ~state() {
+    Stopping = true;
+    if (nng_socket_id(Socket) > 0) {
+      nng_close(Socket);
+    }
+    if (Thread.joinable()) {
+      Thread.join();
+    }
+  }
+
+  /// Returns an empty text, or why the listener cannot start.
+  [[nodiscard]] std::string listen() {
+    int Status = nng_pull0_open(&Socket);
+    nng_listener Listener = NNG_LISTENER_INITIALIZER;
+    const std::string Url = "tcp://" + Options.Listen;
+    if (Status == 0) {
+      Status =
+          nng_socket_set_size(Socket, NNG_OPT_RECVMAXSZ, LongestFrameBytes);
+    }
+    if (Status == 0) {
+      Status = nng_socket_set_ms(Socket, NNG_OPT_RECVTIMEO, ReceiveWaitMillis);
+    }
+    if (Status == 0) {
+      Status = nng_listen(Socket, Url.c_str(), &Listener, 0);
+    }
+    int Port = 0;
+    if (Status == 0) {
+      Status = nng_listener_get_int(Listener, NNG_OPT_TCP_BOUND_PORT, &Port);
+    }
+    if (Status != 0) {
+      return nng_strerror(Status);
+    }
+    Address = Options.Listen.substr(0, Options.Listen.rfind(':') + 1) +
+              std::to_string(Port);
+    return {};
+  }
+
+  void run() {
+    LastRedialCheck = monotonic_clock::now();
+    while (!Stopping) {
+      nng_msg *Received = nullptr;
+      const int Status = nng_recvmsg(Socket, &Received, 0);
+      if (Status == NNG_ECLOSED) {
+        return;
+      }
+      const instant Now = monotonic_clock::now();
+      if (Status == 0) {
+        const impl::message_pointer Message(Received);
+        onMessage({static_cast<const char *>(nng_msg_body(Received)),
+                   nng_msg_len(Received)},
+                  Now);
+      }
+      if (Now - LastRedialCheck >= RedialCheckPeriod) {
+        LastRedialCheck = Now;
+        redialSilentPeers(Now);
+      }
+    }
+  }
+
+  void onMessage(std::string_view Bytes, instant Now) {
+    const auto Parsed = parseFrame(Bytes, Options.Self, Options.FleetKey);
+    if (Parsed.has_error()) {
+      count(Parsed.error());
+      return;
+    }
+    const auto &Header = Parsed.value().Header;
+    {
+      const std::shared_lock Lock(Mutex);
+      if (Cut.count(Header.Sender) != 0) {
+        count(mesh_drop::Cut);
+        return;
+      }
+    }
+    if (!Guard.accept(Header)) {
+      count(mesh_drop::ReplayedOrOldIncarnation);
+      return;
+    }
+    LastReceived[Header.Sender] = Now;
+    auto &Counters = Kinds[static_cast<std::size_t>(Header.Kind)];
+    ++Counters.FramesReceived;
+    Counters.BytesReceived += Bytes.size();
+    Receiver(Header.Sender, Header.Incarnation, Header.Kind,
+             std::string(Parsed.value().Payload));
+  }
+
+  void redialSilentPeers(instant Now) {
+    const std::lock_guard PeersLock(PeersMutex);
+    link_map Copy;
+    {
+      const std::shared_lock Lock(Mutex);
+      Copy = Links;
+    }
+    for (const auto &[Node, Link] : Copy) {
+      const auto Last = LastReceived.find(Node);
+      try {
+        Link->redialIfSilent(Last == LastReceived.end() ? instant()
+                                                        : Last->second,
+                             Now, Options.RedialAfter);
+      } catch (const std::exception &Error) {
+        // The link stays without a dialer until the next check.
+        logEvent(log_level::Warning, "mesh_redial_failed",
+                 {{"peer", number(Node)}, {"reason", Error.what()}});
+      }
+    }
+  }
+
+  void count(mesh_drop Drop) noexcept {
+    ++Drops[static_cast<std::size_t>(Drop)];
+  }
+
+  send_outcome send(node_id To, message_kind Kind, std::string_view Payload) {
+    if (Payload.size() > LongestPayloadBytes) {
+      count(mesh_drop::Length);
+      return send_outcome::TooLong;
+    }
+    std::shared_ptr<peer_link> Link;
+    {
+      const std::shared_lock Lock(Mutex);
+      if (Cut.count(To) != 0) {
+        count(mesh_drop::Cut);
+        return send_outcome::Cut;
+      }
+      if (const auto Found = Links.find(To); Found != Links.end()) {
+        Link = Found->second;
+      }
+    }
+    if (!Link) {
+      count(mesh_drop::UnknownPeer);
+      return send_outcome::UnknownPeer;
+    }
+    const auto Outcome = Link->send(Kind, Payload);
+    if (Outcome == send_outcome::QueueFull) {
+      count(mesh_drop::QueueFull);
+    } else {
+      auto &Counters = Kinds[static_cast<std::size_t>(Kind)];
+      ++Counters.FramesSent;
+      Counters.BytesSent += FrameOverheadBytes + Payload.size();
+    }
+    return Outcome;
+  }
+
+  void setPeers(const std::vector<mesh_peer> &Peers) {
+    const std::lock_guard PeersLock(PeersMutex);
+    link_map Next;
+    // Replaced links close after the lock is released, because closing waits
+    // for a running nng callback.
+    link_map Old;
+    {
+      const std::shared_lock Lock(Mutex);
+      Old = Links;
+    }
+    for (const auto &Peer : Peers) {
+      if (Peer.Node == Options.Self) {
+        continue;
+      }
+      const auto Kept = Old.find(Peer.Node);
+      if (Kept != Old.end() && Kept->second->peer() == Peer) {
+        Next[Peer.Node] = Kept->second;
+        continue;
+      }
+      try {
+        Next[Peer.Node] = std::make_shared<peer_link>(Peer, Context);
+      } catch (const std::exception &Error) {
+        logEvent(log_level::Error, "mesh_dial_failed",
+                 {{"peer", number(Peer.Node)}, {"reason", Error.what()}});
+      }
+    }
+    const std::unique_lock Lock(Mutex);
+    Links.swap(Next);
+  }
+};
+
+peer_mesh::peer_mesh(mesh_options Options, mesh_receiver Receiver)
+    : State(std::make_unique<state>(std::move(Options), std::move(Receiver))) {
+  if (const auto Reason = State->listen(); !Reason.empty()) {
+    throw std::runtime_error(State->Options.Listen + ": " + Reason);
+  }
+  State->setPeers(State->Options.Peers);
+  State->Thread = std::thread([Running = State.get()] { Running->run(); });
+}
+
+peer_mesh::~peer_mesh() = default;
+
+result<std::unique_ptr<peer_mesh>, mesh_error>
+peer_mesh::start(mesh_options Options, mesh_receiver Receiver) {
+  const std::string Address = Options.Listen;
+  try {
+    return std::make_unique<peer_mesh>(std::move(Options), std::move(Receiver));
+  } catch (const std::runtime_error &Error) {
+    return mesh_error{mesh_error_code::Listen, Address, Error.what()};
+  }
+}
+
+send_outcome peer_mesh::send(node_id To, message_kind Kind,
+                             std::string_view Payload) noexcept {
+  try {
+    return State->send(To, Kind, Payload);
+  } catch (const std::exception &) {
+    // Out of memory: the frame is lost like any other that cannot be queued.
+    State->count(mesh_drop::QueueFull);
+    return send_outcome::QueueFull;
+  }
+}
+
+void peer_mesh::setPeers(const std::vector<mesh_peer> &Peers) {
+  State->setPeers(Peers);
+}
+
+bool peer_mesh::setCut(const std::set<node_id> &Nodes) {
+  if (!State->Options.AllowFaultInjection) {
+    return false;
+  }
+  const std::unique_lock Lock(State->Mutex);
+  State->Cut = Nodes;
+  return true;
+}
+
+mesh_counters peer_mesh::counters() const noexcept {
+  mesh_counters Counters;
+  for (std::size_t I = 0; I < MessageKindSlots; ++I) {
+    const auto &Kind = State->Kinds[I];
+    Counters.Kinds[I] = {Kind.FramesSent, Kind.BytesSent, Kind.FramesReceived,
+                         Kind.BytesReceived};
+  }
+  for (std::size_t I = 0; I < MeshDropCount; ++I) {
+    Counters.Drops[I] = State->Drops[I];
+  }
+  return Counters;
+}
+
+const std::string &peer_mesh::address() const noexcept {
+  return State->Address;
+}
+
+} // namespace arbutus::net
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_NET_PEER_MESH_H
 #define ARBUTUS_NET_PEER_MESH_H
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "base/name_table.h"
 #include "base/result.h"
@@ -39,7 +40,12 @@
   /// Frames and bytes that may wait for one peer. An empty queue always takes
   /// one frame, whatever its length.
   std::size_t QueueFrames = 1024;
-  std::size_t QueueBytes = std::size_t{16} << 20U;
+  std::size_t QueueBytes = std::size_t{4} << 20U;
+  /// A peer that frames are sent to and that has been silent for this long is
+  /// dialed anew. After a long partition TCP waits up to two minutes between
+  /// its own attempts; a new connection carries frames at once, well within
+  /// the 15 s in which a configuration must be in force.
+  duration RedialAfter = 5s;
 };
 
 /// What became of a frame at the sender. `Queued` promises no delivery.
@@ -80,9 +86,10 @@
   send_outcome send(node_id To, message_kind Kind,
                     std::string_view Payload) noexcept;
 
-  /// Replaces the set of peers. Dialers of peers that stay under the same
-  /// address keep their connection and queue. Frames of senders outside this
-  /// set are still received, because a joining node is not known yet.
+  /// Replaces the set of peers; this node itself is left out. Dialers of peers
+  /// that stay under the same address keep their connection and queue. Frames
+  /// of senders outside this set are still received, because a joining node is
+  /// not known yet.
   void setPeers(const std::vector<mesh_peer> &Peers);
 
   /// Drops all frames to and from these nodes. Only for tests: does nothing
@@ -97,8 +104,6 @@
 private:
   struct state;
 
-  explicit peer_mesh(std::unique_ptr<state> State) noexcept;
-
   std::unique_ptr<state> State;
 };
 
