--- /dev/null
+++ b/src/net/http_exchange.h
@@ -0,0 +1,47 @@
+#ifndef ARBUTUS_NET_HTTP_EXCHANGE_H
+#define ARBUTUS_NET_HTTP_EXCHANGE_H
+
+#include "net/http_message.h"
+
+#include <functional>
+#include <string>
+
+namespace arbutus::net {
+
+/// One request and its answer. All calls are made on the shard's thread.
+/// Exactly one of `respond` or `beginStream`...`endStream` is used. Calls after
+/// the caller has gone are ignored.
+class http_exchange {
+public:
+  http_exchange() = default;
+  http_exchange(const http_exchange &) = delete;
+  http_exchange &operator=(const http_exchange &) = delete;
+  virtual ~http_exchange() = default;
+
+  [[nodiscard]] virtual const http_request &request() const noexcept = 0;
+
+  /// Moves the body out; `request().Body` is empty afterwards.
+  [[nodiscard]] virtual std::string takeBody() = 0;
+
+  /// Sends the whole answer.
+  virtual void respond(http_response Response) = 0;
+
+  /// Starts a chunked answer.
+  virtual void beginStream(int Status, const http_headers &Headers) = 0;
+
+  /// Sends one chunk at once.
+  virtual void writeChunk(std::string Chunk) = 0;
+
+  /// Ends the chunked answer.
+  virtual void endStream() = 0;
+
+  /// True once an answer was begun or sent.
+  [[nodiscard]] virtual bool answered() const noexcept = 0;
+
+  /// Registers what to do when the caller disconnects before the answer's end.
+  virtual void onDisconnect(std::function<void()> Callback) = 0;
+};
+
+} // namespace arbutus::net
+
+#endif
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,47 @@
+#ifndef ARBUTUS_NET_HTTP_SERVER_H
+#define ARBUTUS_NET_HTTP_SERVER_H
+
+#include "net/http_exchange.h"
+#include <asio/io_context.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace arbutus::net {
+
+struct http_server_options {
+  std::string Address;    ///< IP address to listen on
+  std::uint16_t Port = 0; ///< shared by all shards through SO_REUSEPORT
+  /// Largest request that is read at all, in bytes; larger ones close the
+  /// connection. Smaller limits with typed answers are the handler's.
+  std::size_t HardBodyBytes = 0;
+  std::size_t HardHeaderBytes = 0; ///< for one header field or the target
+};
+
+using http_handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+/// HTTP/1.1 server of one shard. The handler runs on the thread that runs the
+/// given io_context. Construction throws std::exception when the port cannot
+/// be opened.
+class http_server {
+public:
+  http_server(asio::io_context &Io, const http_server_options &Options,
+              http_handler Handler);
+  http_server(const http_server &) = delete;
+  http_server &operator=(const http_server &) = delete;
+  ~http_server();
+
+  /// Stops accepting connections; open ones go on.
+  void stopAccepting();
+
+private:
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+} // namespace arbutus::net
+
+#endif
