--- /dev/null
+++ b/src/router/request_error.h
@@ -0,0 +1,100 @@
+#ifndef ARBUTUS_ROUTER_REQUEST_ERROR_H
+#define ARBUTUS_ROUTER_REQUEST_ERROR_H
+
+#include "base/name_table.h"
+#include "net/http_message.h"
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace arbutus::router {
+
+/// Why a caller gets no answer from an upstream. The names are part of the
+/// public interface.
+enum class request_error {
+  InvalidKey,
+  ServiceNotAllowed,
+  UnknownModel,
+  UnknownService,
+  UnknownRoute,
+  MalformedBody,
+  HeaderTooLarge,
+  BodyTooLarge,
+  QueueFull,
+  NotServing,
+  NoUpstream,
+  DeadlineExceeded,
+  ShuttingDown,
+  UpstreamUnreachable,
+  UpstreamFailed,
+  UpstreamAnswerInvalid,
+  AnswerIncomplete,
+  ClaimInProgress,
+  ClaimMismatch,
+  ClaimUnknown,
+  ClaimsUnavailable,
+};
+
+/// What is known about the execution of a request. `NotRun` is a promise.
+enum class run_outcome { NotRun, Unknown };
+
+/// HTTP status of an error.
+[[nodiscard]] int statusOf(request_error Error) noexcept;
+
+/// Seconds for the Retry-After header, or 0 for none.
+[[nodiscard]] int retryAfterSeconds(request_error Error) noexcept;
+
+/// One sentence for the caller.
+[[nodiscard]] std::string_view messageOf(request_error Error) noexcept;
+
+/// Body of an error answer, without a trailing line end:
+/// `{"error":{"type":...,"message":...},"outcome":...,"request_id":...}`.
+[[nodiscard]] std::string errorBody(request_error Error, run_outcome Outcome,
+                                    std::string_view RequestId);
+
+/// Whole error answer.
+[[nodiscard]] net::http_response errorAnswer(request_error Error,
+                                             run_outcome Outcome,
+                                             std::string_view RequestId);
+
+} // namespace arbutus::router
+
+namespace arbutus {
+
+template <> struct name_table<router::run_outcome> {
+  static constexpr name_row<router::run_outcome> Rows[] = {
+      {router::run_outcome::NotRun, "not_run"},
+      {router::run_outcome::Unknown, "unknown"},
+  };
+};
+
+template <> struct name_table<router::request_error> {
+  using error = router::request_error;
+  static constexpr name_row<error> Rows[] = {
+      {error::InvalidKey, "invalid_key"},
+      {error::ServiceNotAllowed, "service_not_allowed"},
+      {error::UnknownModel, "unknown_model"},
+      {error::UnknownService, "unknown_service"},
+      {error::UnknownRoute, "unknown_route"},
+      {error::MalformedBody, "malformed_body"},
+      {error::HeaderTooLarge, "header_too_large"},
+      {error::BodyTooLarge, "body_too_large"},
+      {error::QueueFull, "queue_full"},
+      {error::NotServing, "not_serving"},
+      {error::NoUpstream, "no_upstream"},
+      {error::DeadlineExceeded, "deadline_exceeded"},
+      {error::ShuttingDown, "shutting_down"},
+      {error::UpstreamUnreachable, "upstream_unreachable"},
+      {error::UpstreamFailed, "upstream_failed"},
+      {error::UpstreamAnswerInvalid, "upstream_answer_invalid"},
+      {error::AnswerIncomplete, "answer_incomplete"},
+      {error::ClaimInProgress, "claim_in_progress"},
+      {error::ClaimMismatch, "claim_mismatch"},
+      {error::ClaimUnknown, "claim_unknown"},
+      {error::ClaimsUnavailable, "claims_unavailable"},
+  };
+};
+
+} // namespace arbutus
+
+#endif
--- /dev/null
+++ b/src/router/retry_policy.h
@@ -0,0 +1,63 @@
+#ifndef ARBUTUS_ROUTER_RETRY_POLICY_H
+#define ARBUTUS_ROUTER_RETRY_POLICY_H
+
+#include "base/clock.h"
+#include "base/name_table.h"
+#include "net/call_outcome.h"
+#include "router/request_error.h"
+
+namespace arbutus::router {
+
+/// What happens to a request after a call to an upstream has ended.
+enum class next_step {
+  Answer,        ///< pass the upstream's answer on
+  Retry,         ///< enqueue again, without this upstream
+  Resume,        ///< continue the broken stream from its last token
+  Fail,          ///< answer with an error
+  EndIncomplete, ///< the answer has begun: end it, marked as incomplete
+};
+
+/// How a call ended and what the request allows.
+struct call_result {
+  net::call_outcome Outcome = net::call_outcome::Complete;
+  int Status = 0;             ///< of the upstream's answer, 0 without one
+  bool UpstreamNotRun = false; ///< the upstream says it refused before running
+  bool AnswerValid = true;    ///< ids matched and the stream had its end mark
+  bool AnswerBegun = false;   ///< bytes of the answer were sent to the caller
+  bool Idempotent = false;
+  bool Resumable = false;     ///< the engine can continue a broken stream
+  bool AttemptsLeft = false;
+  bool BudgetLeft = false; ///< the retry budget allows one more call
+  bool DeadlineLeft = false;
+};
+
+struct step_decision {
+  next_step Step = next_step::Fail;
+  request_error Error = request_error::UpstreamFailed; ///< for Fail and later
+  run_outcome Outcome = run_outcome::Unknown;
+
+  friend bool operator==(const step_decision &,
+                         const step_decision &) = default;
+};
+
+/// Decides without side effects. A request that may have run is called again
+/// only when it is idempotent, and never after its answer has begun.
+[[nodiscard]] step_decision decideNextStep(const call_result &Result) noexcept;
+
+} // namespace arbutus::router
+
+namespace arbutus {
+
+template <> struct name_table<router::next_step> {
+  static constexpr name_row<router::next_step> Rows[] = {
+      {router::next_step::Answer, "answer"},
+      {router::next_step::Retry, "retry"},
+      {router::next_step::Resume, "resume"},
+      {router::next_step::Fail, "fail"},
+      {router::next_step::EndIncomplete, "end_incomplete"},
+  };
+};
+
+} // namespace arbutus
+
+#endif
--- /dev/null
+++ b/src/router/stream_check.cpp
@@ -0,0 +1,124 @@
+#include "router/stream_check.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace arbutus::router {
+
+namespace {
+
+/// Longest event that is buffered, in bytes; a longer one is malformed.
+constexpr std::size_t MostEventBytes = 1U << 20U;
+
+/// Value of the field `Name` in a server-sent event, or an empty view.
+std::string_view fieldOf(std::string_view Event, std::string_view Name) {
+  while (!Event.empty()) {
+    std::string_view Line = Event.substr(0, Event.find('\n'));
+    Event.remove_prefix(std::min(Event.size(), Line.size() + 1));
+    if (!Line.empty() && Line.back() == '\r') {
+      Line.remove_suffix(1);
+    }
+    if (Line.substr(0, Name.size()) == Name && Line.size() > Name.size() &&
+        Line[Name.size()] == ':') {
+      Line.remove_prefix(Name.size() + 1);
+      if (!Line.empty() && Line.front() == ' ') {
+        Line.remove_prefix(1);
+      }
+      return Line;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+std::string stream_check::feed(std::string_view Bytes) {
+  std::string Forward;
+  if (State != stream_state::Open) {
+    return Forward;
+  }
+  Buffer += Bytes;
+  std::size_t Start = 0;
+  while (State == stream_state::Open) {
+    const auto End = Buffer.find("\n\n", Start);
+    if (End == std::string::npos) {
+      break;
+    }
+    takeEvent(std::string_view(Buffer).substr(Start, End - Start), Forward);
+    Start = End + 2;
+  }
+  Buffer.erase(0, Start);
+  if (Buffer.size() > MostEventBytes) {
+    State = stream_state::Malformed;
+  }
+  return Forward;
+}
+
+void stream_check::restart() {
+  Buffer.clear();
+  if (State != stream_state::Done) {
+    State = stream_state::Open;
+  }
+}
+
+void stream_check::takeEvent(std::string_view Event, std::string &Forward) {
+  const std::string_view Data = fieldOf(Event, "data");
+  if (Data.empty()) {
+    return; // comments keep a connection open and carry nothing
+  }
+  if (Data == "[DONE]") {
+    State = stream_state::Done;
+    return;
+  }
+  const std::string_view Index = fieldOf(Event, "id");
+  if (!Index.empty()) {
+    std::int64_t Value = 0;
+    const auto Parsed =
+        std::from_chars(Index.data(), Index.data() + Index.size(), Value);
+    if (Parsed.ec == std::errc() && Value <= LastIndex) {
+      return;
+    }
+    if (Parsed.ec == std::errc()) {
+      if (Value != LastIndex + 1) {
+        State = stream_state::Malformed; // a chunk is missing
+        return;
+      }
+      LastIndex = Value;
+    }
+  }
+  takeChunk(Data, Event, Forward);
+}
+
+void stream_check::takeChunk(std::string_view Json, std::string_view Event,
+                             std::string &Forward) {
+  const auto Chunk = nlohmann::json::parse(Json, nullptr, false);
+  if (!Chunk.is_object()) {
+    State = stream_state::Malformed;
+    return;
+  }
+  const auto Id = Chunk.find("id");
+  if (Id == Chunk.end() || !Id->is_string()) {
+    State = stream_state::Malformed;
+    return;
+  }
+  if (Id->get_ref<const std::string &>() != RequestId) {
+    State = stream_state::WrongId;
+    return;
+  }
+  const auto Usage = Chunk.find("usage");
+  if (Usage != Chunk.end() && Usage->is_object()) {
+    Tokens = Usage->value("completion_tokens", Tokens);
+    PromptTokens = Usage->value("prompt_tokens", PromptTokens);
+  }
+  const auto Choices = Chunk.find("choices");
+  if (Choices != Chunk.end() && Choices->is_array() && !Choices->empty() &&
+      Choices->front().is_object() && Choices->front().contains("delta") &&
+      Choices->front()["delta"].contains("content") &&
+      (Usage == Chunk.end() || !Usage->is_object())) {
+    ++Tokens;
+  }
+  Forward += Event;
+  Forward += "\n\n";
+}
+
+} // namespace arbutus::router
