Add public interfaces of consensus and storage

Cause: callers need the types of the replicated log before it works. Members are a node together with the identity of its data directory, so that a voter with a lost disk is another member than before. Conclusion: the interface can be coded against; no source implements it yet.

--- /dev/null
+++ b/src/consensus/consensus.h
@@ -0,0 +1,13 @@
+#ifndef ARBUTUS_CONSENSUS_CONSENSUS_H
+#define ARBUTUS_CONSENSUS_CONSENSUS_H
+
+#include "consensus/forward.h"
+#include "consensus/input.h"
+#include "consensus/log_entry.h"
+#include "consensus/message.h"
+#include "consensus/options.h"
+#include "consensus/output.h"
+#include "consensus/raft_node.h"
+#include "consensus/voter_set.h"
+
+#endif
--- /dev/null
+++ b/src/consensus/input.h
@@ -0,0 +1,63 @@
+#ifndef ARBUTUS_CONSENSUS_INPUT_H
+#define ARBUTUS_CONSENSUS_INPUT_H
+
+#include "consensus/message.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace arbutus::consensus {
+
+/// Lets time pass. Call it at least every 50 ms.
+struct tick {};
+
+/// A message that arrived from `Message.From`.
+struct peer_message {
+  message Message;
+};
+
+/// Payloads that are to be appended together, in this order.
+struct proposal_batch {
+  std::vector<std::string> Payloads;
+};
+
+/// How the voter set is to change.
+enum class change_kind : std::uint8_t {
+  AddLearner, ///< also replaces a member whose data directory was lost
+  Promote,    ///< learner to voter, once it has caught up
+  Remove,
+};
+
+/// Asks the leader to change one member. `Disk` is used by `AddLearner` only;
+/// the new member reports it.
+struct voter_change {
+  change_kind Kind = change_kind::AddLearner;
+  node_id Node{};
+  disk_id Disk = BootstrapDisk;
+};
+
+/// The caller holds a synced snapshot of its state machine at `Index`, made
+/// with the meta data from `raft_node::snapshotMeta`.
+struct snapshot_saved {
+  std::uint64_t Index = 0;
+  std::shared_ptr<const std::string> Data;
+};
+
+/// All writes up to and including `disk_writes::Sequence` are synced.
+struct writes_synced {
+  std::uint64_t Sequence = 0;
+};
+
+/// A write or sync failed. The node stops voting, acknowledging and leading
+/// until the process makes a new one from the data directory.
+struct storage_failed {};
+
+using input = std::variant<tick, peer_message, proposal_batch, voter_change,
+                           snapshot_saved, writes_synced, storage_failed>;
+
+} // namespace arbutus::consensus
+
+#endif
--- /dev/null
+++ b/src/consensus/log_entry.h
@@ -0,0 +1,81 @@
+#ifndef ARBUTUS_CONSENSUS_LOG_ENTRY_H
+#define ARBUTUS_CONSENSUS_LOG_ENTRY_H
+
+#include "base/codec.h"
+#include "consensus/voter_set.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace arbutus::consensus {
+
+/// What an entry's payload holds.
+enum class entry_kind : std::uint8_t {
+  Empty,    ///< first entry of a new leader; nothing to apply
+  Proposal, ///< bytes given by the caller
+  Voters,   ///< encoded `voter_set`, in force as soon as it is in the log
+};
+
+/// One entry of the replicated log. Indexes start at 1.
+struct log_entry {
+  std::uint64_t Index = 0;
+  std::uint64_t Term = 0;
+  entry_kind Kind = entry_kind::Empty;
+  std::string Payload;
+
+  bool operator==(const log_entry &) const = default;
+  template <class Packer> void msgpack_pack(Packer &Out) const { // NOLINT
+    Out.pack_array(4);
+    Out.pack(Index);
+    Out.pack(Term);
+    Out.pack(static_cast<std::uint8_t>(Kind));
+    Out.pack_bin(static_cast<std::uint32_t>(Payload.size()));
+    Out.pack_bin_body(Payload.data(),
+                      static_cast<std::uint32_t>(Payload.size()));
+  }
+  void msgpack_unpack(const msgpack::object &In); // NOLINT: name set by msgpack
+};
+
+/// What a voter must have synced before it uses it.
+struct hard_state {
+  std::uint64_t Term = 0;
+  std::optional<node_id> VotedFor;
+
+  bool operator==(const hard_state &) const = default;
+};
+
+/// Position and members that a snapshot covers.
+struct snapshot_meta {
+  std::uint64_t Index = 0;
+  std::uint64_t Term = 0;
+  voter_set Voters;
+
+  bool operator==(const snapshot_meta &) const = default;
+  MSGPACK_DEFINE(Index, Term, Voters)
+};
+
+/// A snapshot of the state machine. The data is shared, not copied.
+struct snapshot {
+  snapshot_meta Meta;
+  std::shared_ptr<const std::string> Data;
+};
+
+/// Everything that a restarted process read from its data directory. Entries
+/// follow each other without a gap and the first one is at most one past the
+/// snapshot.
+struct recovered_state {
+  hard_state Hard;
+  std::optional<snapshot> Snapshot;
+  std::vector<log_entry> Entries;
+};
+
+/// Returns the state with which every first voter starts: term 1 and one entry
+/// that names the voters. It must be written to the data directory first.
+[[nodiscard]] recovered_state bootstrapState(const voter_set &Voters);
+
+} // namespace arbutus::consensus
+
+#endif
--- /dev/null
+++ b/src/consensus/message.h
@@ -0,0 +1,104 @@
+#ifndef ARBUTUS_CONSENSUS_MESSAGE_H
+#define ARBUTUS_CONSENSUS_MESSAGE_H
+
+#include "base/codec.h"
+#include "consensus/log_entry.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace arbutus::consensus {
+
+/// Asks for a vote, or in a pre-vote whether a vote would be given.
+/// `VoterDisk` is the data directory under which the candidate's voter set
+/// lists the receiver; a receiver with another one does not vote.
+struct vote_request {
+  bool PreVote = false;
+  std::uint64_t LastIndex = 0;
+  std::uint64_t LastTerm = 0;
+  std::uint64_t VoterDisk = 0;
+  MSGPACK_DEFINE(PreVote, LastIndex, LastTerm, VoterDisk)
+};
+
+/// Answers a `vote_request`. A granted pre-vote carries the term asked for.
+struct vote_reply {
+  bool PreVote = false;
+  bool Granted = false;
+  std::uint64_t VoterDisk = 0;
+  MSGPACK_DEFINE(PreVote, Granted, VoterDisk)
+};
+
+/// Carries entries after `PrevIndex`; without entries it is a heartbeat.
+/// `SentAt` is the leader's clock in microseconds, echoed by the reply.
+struct append_request {
+  std::uint64_t PrevIndex = 0;
+  std::uint64_t PrevTerm = 0;
+  std::uint64_t Commit = 0;
+  std::int64_t SentAt = 0;
+  std::vector<log_entry> Entries;
+  MSGPACK_DEFINE(PrevIndex, PrevTerm, Commit, SentAt, Entries)
+};
+
+/// Answers an `append_request` after the entries are synced. When accepted,
+/// the logs match up to `Index`. When refused, the leader must try entries
+/// after `Index` or before.
+struct append_reply {
+  bool Accepted = false;
+  std::uint64_t Index = 0;
+  std::int64_t EchoSentAt = 0;
+  std::uint64_t Disk = 0;
+  MSGPACK_DEFINE(Accepted, Index, EchoSentAt, Disk)
+};
+
+/// One part of a snapshot, at most `SnapshotChunkBytes` long.
+struct snapshot_chunk {
+  snapshot_meta Meta;
+  std::uint64_t Offset = 0;
+  std::uint64_t TotalBytes = 0;
+  std::int64_t SentAt = 0;
+  std::string Bytes;
+  MSGPACK_DEFINE(Meta, Offset, TotalBytes, SentAt, Bytes)
+};
+
+/// Answers a `snapshot_chunk`: the receiver wants bytes from `NextOffset`, or
+/// holds the state up to `Meta.Index` on disk when `Installed`.
+struct snapshot_reply {
+  std::uint64_t Index = 0;
+  std::uint64_t NextOffset = 0;
+  bool Installed = false;
+  std::int64_t EchoSentAt = 0;
+  std::uint64_t Disk = 0;
+  MSGPACK_DEFINE(Index, NextOffset, Installed, EchoSentAt, Disk)
+};
+
+using message_body = std::variant<vote_request, vote_reply, append_request,
+                                  append_reply, snapshot_chunk, snapshot_reply>;
+
+/// A message between two members. `encode` and `decode` of base/codec.h turn
+/// it into bytes and back; the receiver must check that `From` is the
+/// authenticated sender.
+struct message {
+  std::uint32_t From = 0;
+  std::uint32_t To = 0;
+  std::uint64_t Term = 0;
+  message_body Body;
+
+  [[nodiscard]] node_id from() const noexcept { return node_id{From}; }
+  [[nodiscard]] node_id to() const noexcept { return node_id{To}; }
+
+  template <class Packer> void msgpack_pack(Packer &Out) const { // NOLINT
+    Out.pack_array(5);
+    Out.pack(From);
+    Out.pack(To);
+    Out.pack(Term);
+    Out.pack(static_cast<std::uint8_t>(Body.index()));
+    std::visit([&Out](const auto &Part) { Out.pack(Part); }, Body);
+  }
+  void msgpack_unpack(const msgpack::object &In); // NOLINT: name set by msgpack
+};
+
+} // namespace arbutus::consensus
+
+#endif
--- /dev/null
+++ b/src/storage/file_hooks.h
@@ -0,0 +1,38 @@
+#ifndef ARBUTUS_STORAGE_FILE_HOOKS_H
+#define ARBUTUS_STORAGE_FILE_HOOKS_H
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace arbutus::storage {
+
+/// The file calls that the log makes. They follow POSIX: a negative result
+/// means failure with `errno` set, and `Write` may write less than asked.
+/// Tests replace single calls to inject failures.
+struct file_hooks {
+  std::function<int(const std::string &Path, int Flags)> Open;
+  std::function<ssize_t(int File, const char *Bytes, std::size_t Size)> Write;
+  std::function<ssize_t(int File, char *Bytes, std::size_t Size)> Read;
+  std::function<int(int File)> Sync;
+  std::function<int(int File, std::size_t Size)> Truncate;
+  std::function<int(int File)> Close;
+  std::function<int(const std::string &From, const std::string &To)> Rename;
+  std::function<int(const std::string &Path)> Remove;
+  std::function<int(const std::string &Path)> MakeDirectory;
+  /// Appends the names in a directory, without "." and "..".
+  std::function<int(const std::string &Path, std::vector<std::string> &Names)>
+      List;
+  /// Takes an exclusive lock that ends with the process or with `Close`.
+  std::function<int(int File)> Lock;
+};
+
+/// Returns the calls of the operating system.
+[[nodiscard]] file_hooks posixFiles();
+
+} // namespace arbutus::storage
+
+#endif
--- /dev/null
+++ b/src/storage/storage_error.h
@@ -0,0 +1,53 @@
+#ifndef ARBUTUS_STORAGE_STORAGE_ERROR_H
+#define ARBUTUS_STORAGE_STORAGE_ERROR_H
+
+#include "base/name_table.h"
+#include "base/result.h"
+
+#include <string>
+
+namespace arbutus::storage {
+
+enum class storage_errc {
+  Io,              ///< a file call failed for another reason
+  DiskFull,        ///< no space; the write did not happen
+  SyncFailed,      ///< what was written since the last sync may be lost
+  Locked,          ///< another process uses the data directory
+  Corrupt,         ///< bytes that were synced once do not read back
+  WrongNode,       ///< the data directory belongs to another node
+  AlreadyStarted,  ///< bootstrap of a data directory that has an identity
+  IdentityMissing, ///< a log or hard state without an identity file
+  Stopped,         ///< an earlier write or sync failed; reopen the log
+  BadOrder,        ///< the writes do not continue the log
+};
+
+/// A storage failure: what failed, on which file, with which `errno` (zero
+/// when the operating system gave none).
+struct storage_error {
+  storage_errc Code = storage_errc::Io;
+  std::string File;
+  std::string Detail;
+  int Errno = 0;
+};
+
+template <class T> using storage_result = result<T, storage_error>;
+
+} // namespace arbutus::storage
+
+template <> struct arbutus::name_table<arbutus::storage::storage_errc> {
+  using errc = arbutus::storage::storage_errc;
+  static constexpr name_row<errc> Rows[] = {
+      {errc::Io, "io"},
+      {errc::DiskFull, "disk_full"},
+      {errc::SyncFailed, "sync_failed"},
+      {errc::Locked, "locked"},
+      {errc::Corrupt, "corrupt"},
+      {errc::WrongNode, "wrong_node"},
+      {errc::AlreadyStarted, "already_started"},
+      {errc::IdentityMissing, "identity_missing"},
+      {errc::Stopped, "stopped"},
+      {errc::BadOrder, "bad_order"},
+  };
+};
+
+#endif
