Add the public interface of the store module

Cause: the router and control modules are written against the store while its implementation is under way.

--- /dev/null
+++ b/src/store/field_error.h
@@ -0,0 +1,59 @@
+#ifndef ARBUTUS_STORE_FIELD_ERROR_H
+#define ARBUTUS_STORE_FIELD_ERROR_H
+
+#include "base/name_table.h"
+#include <msgpack.hpp>
+
+#include <string>
+
+namespace arbutus::store {
+
+/// What is wrong with one field. The numbers are part of the log format.
+enum class field_code : int {
+  Missing = 0,
+  UnknownField = 1,
+  WrongType = 2,
+  OutOfRange = 3,
+  BadFormat = 4,
+  UnknownValue = 5,
+  Duplicate = 6,
+  NoSuchObject = 7,
+  NotAllowed = 8,
+  Malformed = 9,
+};
+
+/// One fault of a submitted object.
+struct field_error {
+  /// Path of the field, for example `spec.routes[1].method`.
+  std::string Path;
+  field_code Code = field_code::Missing;
+  std::string Message;
+
+  bool operator==(const field_error &) const = default;
+  MSGPACK_DEFINE(Path, Code, Message)
+};
+
+} // namespace arbutus::store
+
+namespace arbutus {
+
+template <> struct name_table<store::field_code> {
+  static constexpr name_row<store::field_code> Rows[] = {
+      {store::field_code::Missing, "missing"},
+      {store::field_code::UnknownField, "unknown_field"},
+      {store::field_code::WrongType, "wrong_type"},
+      {store::field_code::OutOfRange, "out_of_range"},
+      {store::field_code::BadFormat, "bad_format"},
+      {store::field_code::UnknownValue, "unknown_value"},
+      {store::field_code::Duplicate, "duplicate"},
+      {store::field_code::NoSuchObject, "no_such_object"},
+      {store::field_code::NotAllowed, "not_allowed"},
+      {store::field_code::Malformed, "malformed"},
+  };
+};
+
+} // namespace arbutus
+
+MSGPACK_ADD_ENUM(arbutus::store::field_code)
+
+#endif
--- /dev/null
+++ b/src/store/resource_json.h
@@ -0,0 +1,42 @@
+#ifndef ARBUTUS_STORE_RESOURCE_JSON_H
+#define ARBUTUS_STORE_RESOURCE_JSON_H
+
+#include "store/commands.h"
+#include "store/field_error.h"
+#include "store/outcome.h"
+#include "store/resource.h"
+#include <nlohmann/json_fwd.hpp>
+
+#include <string_view>
+#include <vector>
+
+namespace arbutus::store {
+
+/// A write that was read from JSON, and every fault of it. Fields with faults
+/// have their defaults.
+struct parsed_put {
+  put_command Put;
+  std::vector<field_error> Errors;
+};
+
+/// `{"kind","name","id","version","revision","spec"}`; `id` is left out for
+/// kinds without a number.
+[[nodiscard]] nlohmann::json toJson(const resource &Object);
+[[nodiscard]] nlohmann::json toJson(const field_error &Error);
+/// The answer to an operator: `outcome`, and those of `object`, `errors` and
+/// `referrers` that are set.
+[[nodiscard]] nlohmann::json toJson(const command_outcome &Outcome);
+
+/// Reads an object in the form that `toJson` writes. `version` is the expected
+/// version (0 if left out); `id` and `revision` are ignored, so that an object
+/// can be read, edited and written back. Checks form and values, but not
+/// references to other objects, which `state_machine::check` does.
+[[nodiscard]] parsed_put parsePut(const nlohmann::json &Object,
+                                  std::string_view RequestId);
+/// The same for JSON text.
+[[nodiscard]] parsed_put parsePutText(std::string_view Text,
+                                      std::string_view RequestId);
+
+} // namespace arbutus::store
+
+#endif
