Add the request path: admission, claims, queue, calls, retries, streams

Cause: a request needs its way from the caller to an upstream and back. Change: admission by API key and route, a pool dispatcher shared by shards, a claim client, the request flow with retries, resumes and checked streams.

--- /dev/null
+++ b/src/router/admission.cpp
@@ -0,0 +1,232 @@
+#include "router/admission.h"
+
+#include "base/digest.h"
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace arbutus::router {
+
+namespace {
+
+constexpr std::string_view ChatTarget = "/v1/chat/completions";
+constexpr std::string_view ServicePrefix = "/services/";
+constexpr std::size_t MostIdBytes = 128;
+constexpr std::size_t MostKeyBytes = 256;
+
+/// Rough size of a token, for estimates that are corrected by the usage.
+constexpr double BytesPerToken = 4;
+/// Share of the allowed output that is charged before it is known.
+constexpr double OutputEstimate = 0.5;
+constexpr double DefaultMaxTokens = 256;
+
+/// Headers that end at this router, because they belong to one connection or
+/// carry the caller's key.
+bool isHopHeader(std::string_view Name) {
+  static constexpr std::string_view Names[] = {"connection",
+                                               "keep-alive",
+                                               "proxy-authenticate",
+                                               "proxy-connection",
+                                               "te",
+                                               "trailer",
+                                               "upgrade",
+                                               "authorization",
+                                               "transfer-encoding",
+                                               "content-length",
+                                               "host",
+                                               "expect",
+                                               "x-request-id",
+                                               "proxy-authorization"};
+  return std::any_of(std::begin(Names), std::end(Names), [&](auto Known) {
+    return net::sameHeaderName(Name, Known);
+  });
+}
+
+std::string_view bearerKey(const net::http_request &Request) {
+  const std::string_view Value =
+      net::headerOf(Request.Headers, "Authorization");
+  static constexpr std::string_view Scheme = "bearer ";
+  if (Value.size() <= Scheme.size() ||
+      !net::sameHeaderName(Value.substr(0, Scheme.size()), Scheme)) {
+    return {};
+  }
+  return Value.substr(Scheme.size());
+}
+
+std::size_t headerBytes(const net::http_request &Request) {
+  std::size_t Sum = Request.Target.size();
+  for (const auto &[Name, Value] : Request.Headers) {
+    Sum += Name.size() + Value.size();
+  }
+  return Sum;
+}
+
+/// Reads the chat request, sets its id for the engine and finds the service.
+result<void, request_error> readChat(routed_request &Request) {
+  auto Json = nlohmann::json::parse(Request.Body, nullptr, false);
+  if (!Json.is_object() || !Json.contains("model") ||
+      !Json["model"].is_string() || !Json.contains("messages") ||
+      !Json["messages"].is_array()) {
+    return request_error::MalformedBody;
+  }
+  Request.Service = Request.View->serviceByModel(
+      Json["model"].get_ref<const std::string &>());
+  if (Request.Service == nullptr) {
+    return request_error::UnknownModel;
+  }
+  const auto Stream = Json.find("stream");
+  if (Stream != Json.end() && !Stream->is_boolean()) {
+    return request_error::MalformedBody;
+  }
+  Request.Stream = Stream != Json.end() && Stream->get<bool>();
+  double MaxTokens = DefaultMaxTokens;
+  if (const auto It = Json.find("max_tokens"); It != Json.end()) {
+    if (!It->is_number_unsigned() || *It == 0) {
+      return request_error::MalformedBody;
+    }
+    MaxTokens = It->get<double>();
+  }
+  Request.EstimatedCost =
+      static_cast<double>(Request.Body.size()) / BytesPerToken +
+      OutputEstimate * MaxTokens;
+  Json["request_id"] = Request.UpstreamId;
+  Request.Body =
+      Json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  Request.Model = true;
+  Request.Idempotent = true; // generating text has no lasting effect
+  Request.Target = ChatTarget;
+  Request.Deadline = Request.Arrived + std::chrono::milliseconds(
+                                           Request.Service->Spec->DeadlineMs);
+  return outcome::success();
+}
+
+/// Finds service and route of `/services/<service>/<path>`.
+result<void, request_error> readPlain(routed_request &Request) {
+  const std::string &Target = Request.Exchange->request().Target;
+  const std::string_view Rest =
+      std::string_view(Target).substr(ServicePrefix.size());
+  const std::string_view Name = Rest.substr(0, Rest.find_first_of("/?"));
+  Request.Service = Request.View->serviceByName(Name);
+  if (Request.Service == nullptr) {
+    return request_error::UnknownService;
+  }
+  Request.Target = Rest.substr(Name.size());
+  const auto Match =
+      Request.Service->match(Request.Method, net::pathOf(Request.Target));
+  if (!Match) {
+    return request_error::UnknownRoute;
+  }
+  Request.Idempotent = Match->Idempotent;
+  Request.Deadline =
+      Request.Arrived + std::chrono::milliseconds(Match->DeadlineMs);
+  return outcome::success();
+}
+
+void addClaim(routed_request &Request) {
+  const std::string_view Key =
+      net::headerOf(Request.Exchange->request().Headers, "Idempotency-Key");
+  if (Request.Idempotent || Key.empty()) {
+    return;
+  }
+  store::claim_command Claim;
+  Claim.Key = {Request.Team->Id, std::string(Request.Service->Name),
+               std::string(Key)};
+  Claim.RequestHash =
+      sha256Hex(Request.Method + "\n" + Request.Target + "\n" + Request.Body);
+  Claim.Owner = {Request.Context.Node, Request.Context.Incarnation.load(),
+                 Request.Id};
+  Request.Claim = std::move(Claim);
+}
+
+result<void, request_error> readTarget(routed_request &Request) {
+  const std::string &Target = Request.Exchange->request().Target;
+  if (net::pathOf(Target) == ChatTarget) {
+    return Request.Method == "POST" ? readChat(Request)
+                                    : request_error::UnknownRoute;
+  }
+  return readPlain(Request);
+}
+
+result<void, request_error> checkSizes(const routed_request &Request) {
+  const auto &Http = Request.Exchange->request();
+  if (headerBytes(Http) > Request.Context.HeaderBytes ||
+      net::headerOf(Http.Headers, "Idempotency-Key").size() > MostKeyBytes) {
+    return request_error::HeaderTooLarge;
+  }
+  const std::size_t BodyLimit = std::min<std::size_t>(
+      Request.Context.BodyBytes, Request.Team->Spec->BodyBytes);
+  if (Http.Body.size() > BodyLimit) {
+    return request_error::BodyTooLarge;
+  }
+  return outcome::success();
+}
+
+void copyHeaders(routed_request &Request) {
+  for (const auto &[Name, Value] : Request.Exchange->request().Headers) {
+    if (!isHopHeader(Name)) {
+      Request.Headers.emplace_back(Name, Value);
+    }
+  }
+  Request.Headers.emplace_back("X-Request-Id", Request.UpstreamId);
+}
+
+} // namespace
+
+bool isServiceTarget(std::string_view Target) noexcept {
+  return net::pathOf(Target) == ChatTarget ||
+         Target.substr(0, ServicePrefix.size()) == ServicePrefix;
+}
+
+std::string publicIdOf(const net::http_request &Request,
+                       const std::string &Fallback) {
+  const std::string_view Given = net::headerOf(Request.Headers, "X-Request-Id");
+  const bool Valid =
+      !Given.empty() && Given.size() <= MostIdBytes &&
+      std::all_of(Given.begin(), Given.end(), [](unsigned char C) {
+        return std::isalnum(C) != 0 || C == '-' || C == '_' || C == '.';
+      });
+  return Valid ? std::string(Given) : Fallback;
+}
+
+result<request_ptr, request_error>
+admitRequest(router_context &Context, shard &Shard,
+             const std::shared_ptr<net::http_exchange> &Exchange) {
+  auto Request = std::make_shared<routed_request>(Context, Shard, Exchange);
+  Request->Arrived = monotonic_clock::now();
+  Request->Id = Context.LastRequest.fetch_add(1) + 1;
+  Request->UpstreamId =
+      fmt::format("{}-{:x}-{}", number(Context.Node),
+                  number(Context.Incarnation.load()), Request->Id);
+  Request->PublicId = publicIdOf(Exchange->request(), Request->UpstreamId);
+  Request->Method = Exchange->request().Method;
+  if (!holdsLease(Context, Request->Arrived)) {
+    return request_error::NotServing;
+  }
+  if (Context.Drain.load() == drain_phase::Finishing) {
+    return request_error::ShuttingDown;
+  }
+  Request->View =
+      Context.Routing.read([](const routing_state &S) { return S.View; });
+  const std::string_view Key = bearerKey(Exchange->request());
+  Request->Team =
+      Key.empty() ? nullptr : Request->View->teamByKeyHash(sha256Hex(Key));
+  if (Request->Team == nullptr) {
+    return request_error::InvalidKey;
+  }
+  if (const auto Checked = checkSizes(*Request); Checked.has_error()) {
+    return Checked.error();
+  }
+  copyHeaders(*Request);
+  Request->Body = Exchange->takeBody();
+  if (const auto Read = readTarget(*Request); Read.has_error()) {
+    return Read.error();
+  }
+  if (!Request->Team->mayUse(Request->Service->Name)) {
+    return request_error::ServiceNotAllowed;
+  }
+  addClaim(*Request);
+  return Request;
+}
+
+} // namespace arbutus::router
--- /dev/null
+++ b/src/router/pool_dispatcher.cpp
@@ -0,0 +1,254 @@
+#include "router/pool_dispatcher.h"
+
+#include "base/clock.h"
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace arbutus::router {
+
+pool::account_options pool_dispatcher::accountOptions() {
+  pool::account_options Options;
+  // The limit is the team's own and checked before a request is queued.
+  Options.TeamQueueLimit = std::numeric_limits<std::uint32_t>::max();
+  return Options;
+}
+
+pool_dispatcher::pool_dispatcher(incarnation Incarnation,
+                                 std::function<void()> Wake)
+    : Incarnation(Incarnation), Wake(std::move(Wake)),
+      Pools(std::make_unique<pool_map>()) {}
+
+result<std::optional<upstream_id>, pool::admission_error>
+pool_dispatcher::enqueue(pool_id Pool, pool::pending_request Request,
+                         std::uint32_t TeamQueueLimit, shard &Shard,
+                         wait_callbacks Callbacks) {
+  const auto Entry = find(Pool);
+  if (!Entry) {
+    return pool::admission_error{pool::admission_code::LeaseEnded, 0};
+  }
+  const instant Now = monotonic_clock::now();
+  const std::uint64_t Id = Request.RequestId;
+  const std::lock_guard Lock(Entry->Mutex);
+  const std::uint32_t Waiting = Entry->Account.waiting(Request.Team);
+  if (Waiting >= TeamQueueLimit) {
+    return pool::admission_error{pool::admission_code::TeamQueueFull, Waiting};
+  }
+  auto Outcome = Entry->Account.enqueue(std::move(Request), Now);
+  if (Outcome.has_error()) {
+    return Outcome.error();
+  }
+  if (!Outcome.value()) {
+    Entry->Waiters.emplace(Id, waiter{&Shard, std::move(Callbacks)});
+  }
+  wakeIfDue(*Entry, Now);
+  if (!Outcome.value()) {
+    return std::optional<upstream_id>();
+  }
+  return std::optional<upstream_id>(Outcome.value()->Upstream);
+}
+
+bool pool_dispatcher::cancel(pool_id Pool, std::uint64_t RequestId) {
+  const auto Entry = find(Pool);
+  if (!Entry) {
+    return false;
+  }
+  const std::lock_guard Lock(Entry->Mutex);
+  if (!Entry->Account.cancel(RequestId)) {
+    return false;
+  }
+  Entry->Waiters.erase(RequestId);
+  wakeIfDue(*Entry, monotonic_clock::now());
+  return true;
+}
+
+void pool_dispatcher::complete(pool_id Pool, std::uint64_t RequestId,
+                               double TotalCost, pool::request_outcome Outcome,
+                               std::optional<duration> FirstTokenTime) {
+  const auto Entry = find(Pool);
+  if (!Entry) {
+    return;
+  }
+  const instant Now = monotonic_clock::now();
+  const std::lock_guard Lock(Entry->Mutex);
+  deliver(*Entry, Entry->Account.complete(RequestId, TotalCost, Outcome,
+                                          FirstTokenTime, Now));
+  wakeIfDue(*Entry, Now);
+}
+
+void pool_dispatcher::progress(pool_id Pool, std::uint64_t RequestId,
+                               double CostSoFar) {
+  if (const auto Entry = find(Pool)) {
+    const std::lock_guard Lock(Entry->Mutex);
+    Entry->Account.progress(RequestId, CostSoFar);
+  }
+}
+
+void pool_dispatcher::configure(const store::config_view &View) {
+  pool_map Next;
+  for (const auto &Service : View.services()) {
+    auto Entry = find(Service.Pool);
+    if (!Entry) {
+      Entry = std::make_shared<pool_entry>(Service.Pool, Incarnation);
+    }
+    Next.emplace(Service.Pool, std::move(Entry));
+  }
+  const auto Same =
+      Pools.read([&](const pool_map &Old) { return Old == Next; });
+  if (!Same) {
+    Pools.replace(std::make_unique<pool_map>(Next));
+  }
+  const instant Now = monotonic_clock::now();
+  for (const auto &Service : View.services()) {
+    auto &Entry = *Next.at(Service.Pool);
+    std::vector<upstream_id> Usable;
+    for (const auto &Member : Service.Members) {
+      if (Member.Usable) {
+        Usable.push_back(Member.Id);
+      }
+    }
+    std::vector<std::pair<team_id, double>> Weights;
+    for (const auto &Team : View.teams()) {
+      if (Team.mayUse(Service.Name)) {
+        Weights.emplace_back(Team.Id, Team.Spec->Weight);
+      }
+    }
+    const std::lock_guard Lock(Entry.Mutex);
+    Entry.Account.setUsable(std::move(Usable));
+    Entry.Account.setTeams(Weights);
+    if (number(Service.Epoch) != 0) {
+      Entry.Account.setEpoch(Service.Epoch, Service.Grantor, Now);
+    }
+    deliver(Entry, Entry.Account.setLease(LeaseUntil, Now));
+  }
+}
+
+void pool_dispatcher::setLease(instant Until) {
+  LeaseUntil = Until;
+  const instant Now = monotonic_clock::now();
+  for (const auto &Entry : all()) {
+    const std::lock_guard Lock(Entry->Mutex);
+    deliver(*Entry, Entry->Account.setLease(Until, Now));
+  }
+}
+
+void pool_dispatcher::setSession(incarnation NewIncarnation) {
+  Incarnation = NewIncarnation;
+  for (const auto &Entry : all()) {
+    const std::lock_guard Lock(Entry->Mutex);
+    Entry->Account.setSession(NewIncarnation);
+  }
+}
+
+void pool_dispatcher::onGrant(node_id From, pool_id Pool,
+                              const pool::pool_grant &Grant) {
+  if (const auto Entry = find(Pool)) {
+    const instant Now = monotonic_clock::now();
+    const std::lock_guard Lock(Entry->Mutex);
+    deliver(*Entry, Entry->Account.onGrant(From, Grant, Now));
+  }
+}
+
+std::vector<outgoing_report> pool_dispatcher::collectReports() {
+  std::vector<outgoing_report> Reports;
+  const instant Now = monotonic_clock::now();
+  for (const auto &Entry : all()) {
+    const std::lock_guard Lock(Entry->Mutex);
+    if (number(Entry->Account.currentEpoch()) != 0 &&
+        Entry->Account.reportDue(Now)) {
+      Entry->ReportRequested = false;
+      Reports.push_back({Entry->Account.pool(), Entry->Account.grantorNode(),
+                         Entry->Account.makeReport(Now)});
+    }
+  }
+  return Reports;
+}
+
+instant pool_dispatcher::nextReport() const {
+  instant Next = instant::max();
+  for (const auto &Entry : all()) {
+    const std::lock_guard Lock(Entry->Mutex);
+    if (number(Entry->Account.currentEpoch()) != 0) {
+      Next = std::min(Next, Entry->Account.nextReport());
+    }
+  }
+  return Next;
+}
+
+void pool_dispatcher::expire() {
+  const instant Now = monotonic_clock::now();
+  for (const auto &Entry : all()) {
+    const std::lock_guard Lock(Entry->Mutex);
+    for (const std::uint64_t Id : Entry->Account.expire(Now)) {
+      const auto It = Entry->Waiters.find(Id);
+      if (It != Entry->Waiters.end()) {
+        asio::post(It->second.Shard->Io,
+                   std::move(It->second.Callbacks.OnExpired));
+        Entry->Waiters.erase(It);
+      }
+    }
+  }
+}
+
+std::uint64_t pool_dispatcher::waiting() const {
+  std::uint64_t Sum = 0;
+  for (const auto &Entry : all()) {
+    const std::lock_guard Lock(Entry->Mutex);
+    Sum += Entry->Account.waiting();
+  }
+  return Sum;
+}
+
+std::uint64_t pool_dispatcher::inFlight() const {
+  std::uint64_t Sum = 0;
+  for (const auto &Entry : all()) {
+    const std::lock_guard Lock(Entry->Mutex);
+    Sum += Entry->Account.inFlight();
+  }
+  return Sum;
+}
+
+std::shared_ptr<pool_dispatcher::pool_entry>
+pool_dispatcher::find(pool_id Pool) const {
+  return Pools.read([&](const pool_map &Map) {
+    const auto It = Map.find(Pool);
+    return It == Map.end() ? nullptr : It->second;
+  });
+}
+
+std::vector<std::shared_ptr<pool_dispatcher::pool_entry>>
+pool_dispatcher::all() const {
+  return Pools.read([](const pool_map &Map) {
+    std::vector<std::shared_ptr<pool_entry>> List;
+    for (const auto &[Pool, Entry] : Map) {
+      List.push_back(Entry);
+    }
+    return List;
+  });
+}
+
+void pool_dispatcher::deliver(pool_entry &Entry,
+                              const std::vector<pool::dispatch> &List) {
+  for (const auto &Dispatch : List) {
+    const auto It = Entry.Waiters.find(Dispatch.RequestId);
+    if (It == Entry.Waiters.end()) {
+      continue;
+    }
+    asio::post(It->second.Shard->Io,
+               [Callback = std::move(It->second.Callbacks.OnDispatch),
+                Upstream = Dispatch.Upstream] { Callback(Upstream); });
+    Entry.Waiters.erase(It);
+  }
+}
+
+void pool_dispatcher::wakeIfDue(pool_entry &Entry, instant Now) {
+  // Reports are batched by a millisecond; the control thread waits for that.
+  static constexpr duration Soon = 2ms;
+  if (!Entry.ReportRequested && Entry.Account.nextReport() <= Now + Soon) {
+    Entry.ReportRequested = true;
+    Wake();
+  }
+}
+
+} // namespace arbutus::router
--- a/src/router/request_error.h
+++ b/src/router/request_error.h
@@ -3,6 +3,7 @@
 
 #include "base/name_table.h"
 #include "net/http_message.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
--- /dev/null
+++ b/src/router/request_flow.cpp
@@ -0,0 +1,581 @@
+#include "router/request_flow.h"
+
+#include "base/log.h"
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace arbutus::router {
+
+namespace {
+
+/// Calls of one request in all, the first included.
+constexpr int MostAttempts = 4;
+/// Longest answer that is buffered, in bytes.
+constexpr std::size_t MostAnswerBytes = std::size_t{16} << 20U;
+/// Output tokens between two charges while a stream runs.
+constexpr std::uint64_t TokensPerCharge = 16;
+
+void enqueueRequest(const request_ptr &Request);
+void callUpstream(const request_ptr &Request, upstream_id Upstream);
+void failWaiting(const request_ptr &Request, request_error Error);
+
+void logFinished(const routed_request &Request, std::string_view Result,
+                 int Status) {
+  logEvent(
+      log_level::Info, "request_finished",
+      {{"request", Request.PublicId},
+       {"team", Request.Team->Name},
+       {"service", Request.Service->Name},
+       {"result", Result},
+       {"status", Status},
+       {"upstream", Request.Call.UpstreamName},
+       {"attempts", Request.Attempts},
+       {"duration_us", toMicros(monotonic_clock::now() - Request.Arrived)}});
+}
+
+/// Cost of the present call: tokens for models, 1 for plain services.
+double costOf(const routed_request &Request) {
+  if (!Request.Model) {
+    return 1;
+  }
+  if (Request.Check) {
+    const double Prompt =
+        Request.Check->promptTokens() > 0
+            ? static_cast<double>(Request.Check->promptTokens())
+            : static_cast<double>(Request.Body.size()) / 4;
+    return Prompt + static_cast<double>(Request.Check->tokens());
+  }
+  const auto Json = nlohmann::json::parse(Request.Call.Body, nullptr, false);
+  if (Json.is_object() && Json.contains("usage") && Json["usage"].is_object()) {
+    return Json["usage"].value("prompt_tokens", 0.0) +
+           Json["usage"].value("completion_tokens", 0.0);
+  }
+  return static_cast<double>(Request.Body.size()) / 4;
+}
+
+/// Tells the claim's record how the request ended.
+void settleClaim(routed_request &Request, const net::http_response *Answer) {
+  if (!Request.ClaimHeld) {
+    return;
+  }
+  Request.ClaimHeld = false;
+  if (Answer == nullptr) {
+    Request.Context.Claims.finish(store::makeCommand(
+        store::withdraw_command{Request.Claim->Key, Request.Claim->Owner}));
+    return;
+  }
+  store::complete_command Complete{
+      Request.Claim->Key, Request.Claim->Owner, {}};
+  Complete.Answer.Status = static_cast<std::uint32_t>(Answer->Status);
+  Complete.Answer.ContentType = net::headerOf(Answer->Headers, "Content-Type");
+  Complete.Answer.Body = Answer->Body;
+  Request.Context.Claims.finish(store::makeCommand(std::move(Complete)));
+}
+
+void failRequest(const request_ptr &Request, request_error Error,
+                 run_outcome Outcome) {
+  if (Request->Phase == request_phase::Finished) {
+    return;
+  }
+  Request->Phase = request_phase::Finished;
+  if (Request->MayHaveRun) {
+    Outcome = run_outcome::Unknown;
+  }
+  Request->Context.Metrics.countError(Error);
+  logFinished(*Request, nameOf(Error), statusOf(Error));
+  auto Answer = errorAnswer(Error, Outcome, Request->PublicId);
+  Answer.Headers.emplace_back("X-Arbutus-Node", Request->Context.NodeName);
+  settleClaim(*Request, Outcome == run_outcome::NotRun ? nullptr : &Answer);
+  Request->Exchange->respond(std::move(Answer));
+}
+
+/// Ends a begun stream so that no client takes it for complete.
+void endIncomplete(const request_ptr &Request, request_error Error) {
+  Request->Phase = request_phase::Finished;
+  Request->Context.Metrics.countError(Error);
+  logFinished(*Request, nameOf(Error), Request->Call.Status);
+  Request->Exchange->writeChunk(
+      "data: " + errorBody(Error, run_outcome::Unknown, Request->PublicId) +
+      "\n\n");
+  Request->Exchange->endStream();
+}
+
+void addTraceHeaders(const routed_request &Request, net::http_headers &Out) {
+  Out.emplace_back("X-Request-Id", Request.PublicId);
+  Out.emplace_back("X-Arbutus-Node", Request.Context.NodeName);
+  Out.emplace_back("X-Arbutus-Upstream", Request.Call.UpstreamName);
+}
+
+net::http_response answerOf(const routed_request &Request) {
+  net::http_response Answer;
+  Answer.Status = Request.Call.Status;
+  for (const auto &[Name, Value] : Request.Call.Headers) {
+    if (!net::sameHeaderName(Name, "x-request-id") &&
+        !net::sameHeaderName(Name, "trailer")) {
+      Answer.Headers.emplace_back(Name, Value);
+    }
+  }
+  addTraceHeaders(Request, Answer.Headers);
+  Answer.Body = Request.Call.Body;
+  if (Request.Model && Request.PublicId != Request.UpstreamId) {
+    const auto At = Answer.Body.find(Request.UpstreamId);
+    if (At != std::string::npos) {
+      Answer.Body.replace(At, Request.UpstreamId.size(), Request.PublicId);
+    }
+  }
+  return Answer;
+}
+
+void answerRequest(const request_ptr &Request) {
+  Request->Phase = request_phase::Finished;
+  Request->Context.Metrics.countAnswer();
+  logFinished(*Request, "answered", Request->Call.Status);
+  if (Request->Check && Request->Exchange->answered()) {
+    Request->Context.Metrics.countTokens(
+        static_cast<double>(Request->Check->tokens()));
+    Request->Exchange->writeChunk("data: [DONE]\n\n");
+    Request->Exchange->endStream();
+    return;
+  }
+  auto Answer = answerOf(*Request);
+  settleClaim(*Request, &Answer);
+  Request->Exchange->respond(std::move(Answer));
+}
+
+/// True if the answer is for this request and whole.
+bool answerIsValid(const routed_request &Request) {
+  if (Request.Call.Oversized) {
+    return false;
+  }
+  if (Request.Check) {
+    return Request.Check->state() == stream_state::Done;
+  }
+  if (Request.Model && Request.Call.Status < 300) {
+    const auto Json = nlohmann::json::parse(Request.Call.Body, nullptr, false);
+    return Json.is_object() && Json.value("id", "") == Request.UpstreamId;
+  }
+  const std::string_view Echo =
+      net::headerOf(Request.Call.Headers, "X-Request-Id");
+  return Echo.empty() || Echo == Request.UpstreamId;
+}
+
+pool::request_outcome poolOutcome(const routed_request &Request,
+                                  net::call_outcome Outcome, bool Valid) {
+  switch (Outcome) {
+  case net::call_outcome::NothingSent:
+    return pool::request_outcome::ConnectFailed;
+  case net::call_outcome::DeadlinePassed:
+    return pool::request_outcome::TimedOut;
+  case net::call_outcome::Cancelled:
+    return pool::request_outcome::Cancelled;
+  case net::call_outcome::SentNoAnswer:
+  case net::call_outcome::AnswerBroken:
+    return pool::request_outcome::Failed;
+  case net::call_outcome::Complete:
+    break;
+  }
+  if (Request.Call.Status == 429 || Request.Call.Status == 503) {
+    return pool::request_outcome::Overloaded;
+  }
+  return Valid && Request.Call.Status < 500 ? pool::request_outcome::Ok
+                                            : pool::request_outcome::Failed;
+}
+
+void logCallFailed(const routed_request &Request, net::call_outcome Outcome,
+                   const step_decision &Decision) {
+  logEvent(log_level::Info, "call_failed",
+           {{"request", Request.PublicId},
+            {"upstream", Request.Call.UpstreamName},
+            {"outcome", nameOf(Outcome)},
+            {"status", Request.Call.Status},
+            {"next", nameOf(Decision.Step)},
+            {"error", nameOf(Decision.Error)}});
+}
+
+call_result resultOf(routed_request &Request, net::call_outcome Outcome,
+                     bool Valid) {
+  const instant Now = monotonic_clock::now();
+  call_result Result;
+  Result.Outcome = Outcome;
+  Result.Status = Request.Call.Status;
+  Result.UpstreamNotRun = Request.Call.NotRunHeader;
+  Result.AnswerValid = Valid;
+  Result.AnswerBegun = Request.Exchange->answered();
+  Result.Idempotent = Request.Idempotent;
+  Result.Resumable = Request.Check.has_value();
+  Result.AttemptsLeft = Request.Attempts < MostAttempts;
+  Result.DeadlineLeft =
+      Now < Request.Deadline && holdsLease(Request.Context, Now);
+  Result.BudgetLeft = true;
+  const auto Step = decideNextStep(Result).Step;
+  if (Step == next_step::Retry || Step == next_step::Resume) {
+    Result.BudgetLeft = Request.Context.Retries.spend();
+  }
+  return Result;
+}
+
+void carryOut(const request_ptr &Request, const step_decision &Decision) {
+  switch (Decision.Step) {
+  case next_step::Answer:
+    answerRequest(Request);
+    return;
+  case next_step::Retry:
+    Request->Context.Metrics.countRetry();
+    Request->Excluded.push_back(Request->Call.Upstream);
+    Request->Preferred.reset();
+    Request->Check.reset();
+    enqueueRequest(Request);
+    return;
+  case next_step::Resume:
+    Request->Context.Metrics.countResume();
+    Request->Preferred = Request->Call.Upstream; // it holds the stream's state
+    Request->Check->restart();
+    enqueueRequest(Request);
+    return;
+  case next_step::Fail:
+    failRequest(Request, Decision.Error, Decision.Outcome);
+    return;
+  case next_step::EndIncomplete:
+    endIncomplete(Request, Decision.Error);
+    return;
+  }
+}
+
+/// True if this router ended the call because its answer was wrong.
+bool cancelledByCheck(const routed_request &Request) {
+  return Request.Call.Oversized ||
+         (Request.Check && Request.Check->state() != stream_state::Open &&
+          Request.Check->state() != stream_state::Done);
+}
+
+void onCallDone(const request_ptr &Request, net::call_outcome Outcome) {
+  const bool Valid = answerIsValid(*Request);
+  // A stream whose end mark was seen is whole, however its connection ended.
+  if (Request->Check && Valid) {
+    Outcome = net::call_outcome::Complete;
+  }
+  if (cancelledByCheck(*Request)) {
+    Outcome = net::call_outcome::Complete;
+  }
+  const double Cost = costOf(*Request);
+  Request->Context.Pools.complete(Request->Service->Pool, Request->Id, Cost,
+                                  poolOutcome(*Request, Outcome, Valid),
+                                  Request->Call.FirstToken);
+  if (Request->CallerGone && Request->Idempotent) {
+    Request->Phase = request_phase::Finished;
+    logFinished(*Request, "caller_gone", 0);
+    return;
+  }
+  if (Outcome == net::call_outcome::Complete && !Valid) {
+    Request->Context.Metrics.countInvalidAnswer();
+  }
+  const auto Result = resultOf(*Request, Outcome, Valid);
+  const auto Decision = decideNextStep(Result);
+  Request->MayHaveRun = Request->MayHaveRun || !provedNotRun(Result);
+  if (Decision.Step != next_step::Answer) {
+    logCallFailed(*Request, Outcome, Decision);
+  }
+  carryOut(Request, Decision);
+}
+
+void onCallHeaders(const request_ptr &Request, int Status,
+                   const net::http_headers &Headers) {
+  Request->Call.Status = Status;
+  Request->Call.Headers = Headers;
+  Request->Call.NotRunHeader =
+      net::headerOf(Headers, "X-Not-Run") == "true" && Status >= 400;
+  const std::string_view Type = net::headerOf(Headers, "Content-Type");
+  const bool EventStream = Type.substr(0, 17) == "text/event-stream";
+  if (Request->Model && Request->Stream && Status == 200 && EventStream &&
+      !Request->Check) {
+    Request->Check.emplace(Request->UpstreamId, Request->PublicId);
+  }
+}
+
+void onStreamBytes(const request_ptr &Request, std::string_view Bytes) {
+  const std::uint64_t Before = Request->Check->tokens();
+  std::string Forward = Request->Check->feed(Bytes);
+  if (!Forward.empty()) {
+    if (!Request->Call.FirstToken) {
+      Request->Call.FirstToken = monotonic_clock::now() - Request->Call.SentAt;
+    }
+    if (!Request->Exchange->answered()) {
+      net::http_headers Headers = {{"Content-Type", "text/event-stream"},
+                                   {"Cache-Control", "no-cache"}};
+      addTraceHeaders(*Request, Headers);
+      Request->Exchange->beginStream(200, Headers);
+    }
+    Request->Exchange->writeChunk(std::move(Forward));
+  }
+  const std::uint64_t After = Request->Check->tokens();
+  if (Before / TokensPerCharge != After / TokensPerCharge) {
+    Request->Context.Pools.progress(Request->Service->Pool, Request->Id,
+                                    costOf(*Request));
+  }
+  if (Request->Check->state() == stream_state::WrongId ||
+      Request->Check->state() == stream_state::Malformed) {
+    Request->Context.Metrics.countInvalidAnswer();
+    Request->Shard.Client.cancel(Request->Call.Call);
+  }
+}
+
+void onCallBody(const request_ptr &Request, std::string_view Bytes) {
+  if (Request->Check && Request->Call.Status == 200) {
+    onStreamBytes(Request, Bytes);
+    return;
+  }
+  if (Request->Call.Body.size() + Bytes.size() > MostAnswerBytes) {
+    Request->Call.Oversized = true;
+    Request->Shard.Client.cancel(Request->Call.Call);
+    return;
+  }
+  Request->Call.Body += Bytes;
+}
+
+/// Body of the next call; a resumed stream names where it stopped.
+std::string bodyFor(const routed_request &Request) {
+  if (!Request.Check || Request.Check->tokens() == 0) {
+    return Request.Body;
+  }
+  auto Json = nlohmann::json::parse(Request.Body);
+  Json["resume_from"] = {{"request_id", Request.UpstreamId},
+                         {"tokens", Request.Check->tokens()}};
+  return Json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+const store::pool_member *memberOf(const routed_request &Request,
+                                   upstream_id Upstream) {
+  const auto &Members = Request.Service->Members;
+  const auto It =
+      std::find_if(Members.begin(), Members.end(),
+                   [&](const auto &Member) { return Member.Id == Upstream; });
+  return It == Members.end() ? nullptr : &*It;
+}
+
+/// Gives back a slot that the request cannot use.
+void returnSlot(const routed_request &Request) {
+  Request.Context.Pools.complete(Request.Service->Pool, Request.Id, 0,
+                                 pool::request_outcome::Cancelled,
+                                 std::nullopt);
+}
+
+void onDispatched(const request_ptr &Request, upstream_id Upstream) {
+  if (Request->CallerGone || Request->Phase != request_phase::Waiting) {
+    returnSlot(*Request);
+    if (Request->Phase == request_phase::Waiting) {
+      Request->Phase = request_phase::Finished;
+      settleClaim(*Request, nullptr);
+    }
+    return;
+  }
+  callUpstream(Request, Upstream);
+}
+
+void callUpstream(const request_ptr &Request, upstream_id Upstream) {
+  // The newest view knows upstreams that joined after the request arrived.
+  auto View = Request->Context.Routing.read(
+      [](const routing_state &State) { return State.View; });
+  const auto *Service = View->serviceByPool(Request->Service->Pool);
+  const auto *Team = View->teamById(Request->Team->Id);
+  if (Service != nullptr && Team != nullptr) {
+    Request->View = std::move(View);
+    Request->Service = Service;
+    Request->Team = Team;
+  }
+  const auto *Member = memberOf(*Request, Upstream);
+  const instant Now = monotonic_clock::now();
+  if (Member == nullptr || !Member->Usable ||
+      !holdsLease(Request->Context, Now)) {
+    returnSlot(*Request);
+    failWaiting(Request, Member == nullptr || !Member->Usable
+                             ? request_error::NoUpstream
+                             : request_error::NotServing);
+    return;
+  }
+  Request->Phase = request_phase::Calling;
+  if (++Request->Attempts == 1) {
+    Request->Context.Retries.earn();
+  }
+  Request->Call = upstream_call{};
+  Request->Call.Upstream = Upstream;
+  Request->Call.UpstreamName = Member->Name;
+  Request->Call.SentAt = Now;
+  logEvent(
+      log_level::Info, "route",
+      {{"request", Request->PublicId},
+       {"team", Request->Team->Name},
+       {"service", Request->Service->Name},
+       {"upstream", Member->Name},
+       {"failure_domain", Member->FailureDomain},
+       {"attempt", Request->Attempts},
+       {"waited_us", toMicros(Now - Request->Arrived)},
+       {"preferred", Request->Preferred
+                         ? (*Request->Preferred == Upstream ? "hit" : "miss")
+                         : "none"}});
+  net::http_call Call;
+  Call.Method = Request->Method;
+  Call.Url = "http://" + std::string(Member->Address) + Request->Target;
+  Call.Headers = Request->Headers;
+  Call.Body = bodyFor(*Request);
+  Call.FreshConnection = !Request->Idempotent;
+  Call.Timeout = std::max<duration>(Request->Deadline - Now, 1ms);
+  Call.OnHeaders = [Request](int Status, const net::http_headers &Headers) {
+    onCallHeaders(Request, Status, Headers);
+  };
+  Call.OnBody = [Request](std::string_view Bytes) {
+    onCallBody(Request, Bytes);
+  };
+  Call.OnDone = [Request](net::call_outcome Outcome) {
+    onCallDone(Request, Outcome);
+  };
+  Request->Call.Call = Request->Shard.Client.start(std::move(Call));
+}
+
+request_error errorOf(pool::admission_code Code) noexcept {
+  switch (Code) {
+  case pool::admission_code::TeamQueueFull:
+    return request_error::QueueFull;
+  case pool::admission_code::DeadlinePassed:
+    return request_error::DeadlineExceeded;
+  case pool::admission_code::DuplicateRequest:
+  case pool::admission_code::LeaseEnded:
+    return request_error::NotServing;
+  }
+  return request_error::NotServing;
+}
+
+void failWaiting(const request_ptr &Request, request_error Error) {
+  if (Request->Exchange->answered()) {
+    endIncomplete(Request, request_error::AnswerIncomplete);
+    return;
+  }
+  failRequest(Request, Error, run_outcome::NotRun);
+}
+
+bool anyUsable(const routed_request &Request) {
+  return std::any_of(Request.Service->Members.begin(),
+                     Request.Service->Members.end(),
+                     [](const auto &Member) { return Member.Usable; });
+}
+
+void enqueueRequest(const request_ptr &Request) {
+  Request->Phase = request_phase::Waiting;
+  if (!anyUsable(*Request)) {
+    failWaiting(Request, request_error::NoUpstream);
+    return;
+  }
+  pool::pending_request Pending;
+  Pending.RequestId = Request->Id;
+  Pending.Team = Request->Team->Id;
+  Pending.EstimatedCost = Request->EstimatedCost;
+  Pending.Preferred = Request->Preferred;
+  Pending.Excluded = Request->Excluded;
+  Pending.Deadline = Request->Deadline;
+  wait_callbacks Callbacks;
+  Callbacks.OnDispatch = [Request](upstream_id Upstream) {
+    onDispatched(Request, Upstream);
+  };
+  Callbacks.OnExpired = [Request] {
+    failWaiting(Request, request_error::DeadlineExceeded);
+  };
+  const auto Queued = Request->Context.Pools.enqueue(
+      Request->Service->Pool, std::move(Pending),
+      Request->Team->Spec->QueueLength, Request->Shard, std::move(Callbacks));
+  if (Queued.has_error()) {
+    failWaiting(Request, errorOf(Queued.error().Code));
+  } else if (Queued.value()) {
+    callUpstream(Request, *Queued.value());
+  }
+}
+
+/// Answers a resend from the record of the first request.
+void answerFromRecord(const request_ptr &Request,
+                      const store::command_outcome &Outcome) {
+  Request->Phase = request_phase::Finished;
+  Request->Context.Metrics.countAnswer();
+  net::http_response Answer;
+  Answer.Status = static_cast<int>(Outcome.Answer.Status);
+  if (!Outcome.Answer.ContentType.empty()) {
+    Answer.Headers.emplace_back("Content-Type", Outcome.Answer.ContentType);
+  }
+  Answer.Headers.emplace_back("X-Request-Id", Request->PublicId);
+  Answer.Headers.emplace_back("X-Arbutus-Node", Request->Context.NodeName);
+  Answer.Headers.emplace_back("Idempotency-Replayed", "true");
+  Answer.Headers.emplace_back("Idempotency-Expires-At-Ms",
+                              std::to_string(Outcome.ExpiresAtMs));
+  Answer.Body = Outcome.Answer.Body;
+  logFinished(*Request, "replayed", Answer.Status);
+  Request->Exchange->respond(std::move(Answer));
+}
+
+void onClaimed(const request_ptr &Request,
+               const std::optional<store::command_outcome> &Outcome) {
+  if (!Outcome) {
+    failRequest(Request, request_error::ClaimsUnavailable, run_outcome::NotRun);
+    return;
+  }
+  switch (Outcome->Code) {
+  case store::outcome_code::Granted:
+    Request->ClaimHeld = true;
+    if (Request->CallerGone) {
+      Request->Phase = request_phase::Finished;
+      settleClaim(*Request, nullptr);
+      return;
+    }
+    enqueueRequest(Request);
+    return;
+  case store::outcome_code::Completed:
+    answerFromRecord(Request, *Outcome);
+    return;
+  case store::outcome_code::InProgress:
+    failRequest(Request, request_error::ClaimInProgress, run_outcome::Unknown);
+    return;
+  case store::outcome_code::Mismatch:
+    failRequest(Request, request_error::ClaimMismatch, run_outcome::NotRun);
+    return;
+  case store::outcome_code::Unknown:
+    failRequest(Request, request_error::ClaimUnknown, run_outcome::Unknown);
+    return;
+  default:
+    failRequest(Request, request_error::ClaimsUnavailable, run_outcome::NotRun);
+    return;
+  }
+}
+
+void onCallerGone(const request_ptr &Request) {
+  Request->CallerGone = true;
+  if (Request->Phase == request_phase::Waiting &&
+      Request->Context.Pools.cancel(Request->Service->Pool, Request->Id)) {
+    Request->Phase = request_phase::Finished;
+    settleClaim(*Request, nullptr);
+    logFinished(*Request, "caller_gone", 0);
+  } else if (Request->Phase == request_phase::Calling && Request->Idempotent) {
+    // A non-idempotent call runs on, so that its answer can be recorded.
+    Request->Shard.Client.cancel(Request->Call.Call);
+  }
+}
+
+} // namespace
+
+void startRequest(const request_ptr &Request) {
+  Request->Exchange->onDisconnect(
+      [Weak = std::weak_ptr<routed_request>(Request)] {
+        if (const auto Strong = Weak.lock()) {
+          onCallerGone(Strong);
+        }
+      });
+  if (!Request->Claim) {
+    enqueueRequest(Request);
+    return;
+  }
+  Request->Phase = request_phase::Claiming;
+  // A claim that takes longer than an election is not worth waiting for.
+  static constexpr duration ClaimWait = 5s;
+  Request->Context.Claims.claim(
+      *Request->Claim,
+      std::min(Request->Deadline, Request->Arrived + ClaimWait), Request->Shard,
+      [Request](const auto &Outcome) { onClaimed(Request, Outcome); });
+}
+
+} // namespace arbutus::router
--- a/src/router/retry_policy.cpp
+++ b/src/router/retry_policy.cpp
@@ -8,13 +8,6 @@
   return Status == 429 || Status == 502 || Status == 503 || Status == 504;
 }
 
-/// True if the call proves that the request did not run.
-bool provedNotRun(const call_result &Result) noexcept {
-  return Result.Outcome == net::call_outcome::NothingSent ||
-         (Result.Outcome == net::call_outcome::Complete &&
-          Result.UpstreamNotRun);
-}
-
 /// True if the upstream's answer is one to pass on.
 bool isGoodAnswer(const call_result &Result) noexcept {
   return Result.Outcome == net::call_outcome::Complete && Result.AnswerValid &&
@@ -40,6 +33,12 @@
 
 } // namespace
 
+bool provedNotRun(const call_result &Result) noexcept {
+  return Result.Outcome == net::call_outcome::NothingSent ||
+         (Result.Outcome == net::call_outcome::Complete &&
+          Result.UpstreamNotRun);
+}
+
 step_decision decideNextStep(const call_result &Result) noexcept {
   if (isGoodAnswer(Result)) {
     return {next_step::Answer, {}, {}};
--- a/src/router/retry_policy.h
+++ b/src/router/retry_policy.h
@@ -20,12 +20,12 @@
 /// How a call ended and what the request allows.
 struct call_result {
   net::call_outcome Outcome = net::call_outcome::Complete;
-  int Status = 0;             ///< of the upstream's answer, 0 without one
+  int Status = 0;              ///< of the upstream's answer, 0 without one
   bool UpstreamNotRun = false; ///< the upstream says it refused before running
-  bool AnswerValid = true;    ///< ids matched and the stream had its end mark
-  bool AnswerBegun = false;   ///< bytes of the answer were sent to the caller
+  bool AnswerValid = true;     ///< ids matched and the stream had its end mark
+  bool AnswerBegun = false;    ///< bytes of the answer were sent to the caller
   bool Idempotent = false;
-  bool Resumable = false;     ///< the engine can continue a broken stream
+  bool Resumable = false; ///< the engine can continue a broken stream
   bool AttemptsLeft = false;
   bool BudgetLeft = false; ///< the retry budget allows one more call
   bool DeadlineLeft = false;
@@ -40,6 +40,9 @@
                          const step_decision &) = default;
 };
 
+/// True if the call proves that the request did not run.
+[[nodiscard]] bool provedNotRun(const call_result &Result) noexcept;
+
 /// Decides without side effects. A request that may have run is called again
 /// only when it is idempotent, and never after its answer has begun.
 [[nodiscard]] step_decision decideNextStep(const call_result &Result) noexcept;
--- /dev/null
+++ b/src/router/routed_request.h
@@ -0,0 +1,102 @@
+#ifndef ARBUTUS_ROUTER_ROUTED_REQUEST_H
+#define ARBUTUS_ROUTER_ROUTED_REQUEST_H
+
+#include "net/http_exchange.h"
+#include "pool/credit_account.h"
+#include "router/retry_policy.h"
+#include "router/router_context.h"
+#include "router/stream_check.h"
+#include "store/config_view.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace arbutus::router {
+
+/// Where a request is on its way.
+enum class request_phase { Admitted, Claiming, Waiting, Calling, Finished };
+
+/// One call of one upstream on behalf of a request.
+struct upstream_call {
+  upstream_id Upstream{};
+  std::string_view UpstreamName;
+  net::call_id Call{};
+  instant SentAt;
+  std::optional<duration> FirstToken;
+  int Status = 0;
+  bool NotRunHeader = false;
+  bool Oversized = false;
+  net::http_headers Headers;
+  std::string Body; ///< of answers that are not streamed
+};
+
+/// A caller's request from admission to its answer. It lives on one shard and
+/// is only used on that shard's thread.
+struct routed_request {
+  routed_request(router_context &Context, shard &Shard,
+                 std::shared_ptr<net::http_exchange> Exchange)
+      : Context(Context), Shard(Shard), Exchange(std::move(Exchange)) {
+    Context.ActiveRequests.fetch_add(1, std::memory_order_relaxed);
+  }
+  routed_request(const routed_request &) = delete;
+  routed_request &operator=(const routed_request &) = delete;
+  ~routed_request() {
+    Context.ActiveRequests.fetch_sub(1, std::memory_order_relaxed);
+  }
+
+  router_context &Context;
+  shard &Shard;
+  std::shared_ptr<net::http_exchange> Exchange;
+
+  std::shared_ptr<const store::config_view> View;
+  const store::team_entry *Team = nullptr;
+  const store::service_entry *Service = nullptr;
+
+  std::uint64_t Id = 0;   ///< unique in this process
+  std::string UpstreamId; ///< unique in the fleet, sent to upstreams
+  std::string PublicId;   ///< the caller's own id, or `UpstreamId`
+
+  std::string Method;
+  std::string Target; ///< path and query sent to the upstream
+  std::string Body;
+  net::http_headers Headers;
+  bool Model = false;
+  bool Stream = false;
+  bool Idempotent = false;
+  instant Arrived;
+  instant Deadline;
+  double EstimatedCost = 1;
+  std::optional<upstream_id> Preferred;
+
+  std::optional<store::claim_command> Claim;
+  bool ClaimHeld = false;
+
+  request_phase Phase = request_phase::Admitted;
+  int Attempts = 0;
+  bool MayHaveRun = false; ///< a call ended without proof that it did not run
+  std::vector<upstream_id> Excluded;
+  upstream_call Call;
+  std::optional<stream_check> Check;
+  bool CallerGone = false;
+};
+
+using request_ptr = std::shared_ptr<routed_request>;
+
+} // namespace arbutus::router
+
+namespace arbutus {
+
+template <> struct name_table<router::request_phase> {
+  using phase = router::request_phase;
+  static constexpr name_row<phase> Rows[] = {
+      {phase::Admitted, "admitted"}, {phase::Claiming, "claiming"},
+      {phase::Waiting, "waiting"},   {phase::Calling, "calling"},
+      {phase::Finished, "finished"},
+  };
+};
+
+} // namespace arbutus
+
+#endif
--- /dev/null
+++ b/src/router/router_metrics.cpp
@@ -0,0 +1,56 @@
+#include "router/router_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace arbutus::router {
+
+namespace {
+
+prometheus::Counter &addCounter(prometheus::Registry &Registry,
+                                const char *Name, const char *Help) {
+  return prometheus::BuildCounter()
+      .Name(Name)
+      .Help(Help)
+      .Register(Registry)
+      .Add({});
+}
+
+} // namespace
+
+router_metrics::router_metrics()
+    : Answered(&addCounter(Registry, "arbutus_answers_total",
+                           "Answers of upstreams passed on")),
+      Retries(&addCounter(Registry, "arbutus_retries_total",
+                          "Calls repeated on another upstream")),
+      Resumes(&addCounter(Registry, "arbutus_stream_resumes_total",
+                          "Broken streams continued")),
+      Tokens(&addCounter(Registry, "arbutus_output_tokens_total",
+                         "Output tokens passed to callers")),
+      InvalidAnswers(&addCounter(Registry, "arbutus_invalid_answers_total",
+                                 "Answers for another request, or malformed")) {
+  auto &Family = prometheus::BuildCounter()
+                     .Name("arbutus_request_errors_total")
+                     .Help("Requests answered with an error, by type")
+                     .Register(Registry);
+  for (const auto &Row : name_table<request_error>::Rows) {
+    Errors[Row.Value] = &Family.Add({{"type", std::string(Row.Name)}});
+  }
+}
+
+void router_metrics::countError(request_error Error) noexcept {
+  if (const auto It = Errors.find(Error); It != Errors.end()) {
+    It->second->Increment();
+  }
+}
+
+void router_metrics::setGauge(const std::string &Name, const std::string &Help,
+                              double Value) {
+  prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add({}).Set(
+      Value);
+}
+
+std::string router_metrics::text() const {
+  return prometheus::TextSerializer().Serialize(Registry.Collect());
+}
+
+} // namespace arbutus::router
--- /dev/null
+++ b/src/router/router_metrics.h
@@ -0,0 +1,45 @@
+#ifndef ARBUTUS_ROUTER_ROUTER_METRICS_H
+#define ARBUTUS_ROUTER_ROUTER_METRICS_H
+
+#include "router/request_error.h"
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+
+namespace arbutus::router {
+
+/// Counters of the request path. Counters are atomic; the tables are built
+/// once and only read afterwards.
+class router_metrics {
+public:
+  router_metrics();
+
+  void countAnswer() noexcept { Answered->Increment(); }
+  void countRetry() noexcept { Retries->Increment(); }
+  void countResume() noexcept { Resumes->Increment(); }
+  void countTokens(double Count) noexcept { Tokens->Increment(Count); }
+  void countInvalidAnswer() noexcept { InvalidAnswers->Increment(); }
+  void countError(request_error Error) noexcept;
+
+  /// Sets a gauge that another part computes when metrics are read.
+  void setGauge(const std::string &Name, const std::string &Help, double Value);
+
+  /// All metrics in the Prometheus text format.
+  [[nodiscard]] std::string text() const;
+
+private:
+  prometheus::Registry Registry;
+  prometheus::Counter *Answered;
+  prometheus::Counter *Retries;
+  prometheus::Counter *Resumes;
+  prometheus::Counter *Tokens;
+  prometheus::Counter *InvalidAnswers;
+  std::map<request_error, prometheus::Counter *> Errors;
+};
+
+} // namespace arbutus::router
+
+#endif
--- /dev/null
+++ b/src/router/routing_state.h
@@ -0,0 +1,24 @@
+#ifndef ARBUTUS_ROUTER_ROUTING_STATE_H
+#define ARBUTUS_ROUTER_ROUTING_STATE_H
+
+#include "control/node_session.h"
+#include "store/config_view.h"
+
+#include <memory>
+#include <vector>
+
+namespace arbutus::router {
+
+/// What the request path reads under RCU: the configuration in force and the
+/// nodes that callers may use. A request keeps the shared view, so that names
+/// and addresses stay valid while it runs.
+struct routing_state {
+  std::shared_ptr<const store::config_view> View =
+      std::make_shared<const store::config_view>();
+  std::shared_ptr<const std::vector<control::live_node>> Nodes =
+      std::make_shared<const std::vector<control::live_node>>();
+};
+
+} // namespace arbutus::router
+
+#endif
--- /dev/null
+++ b/src/router/shard.h
@@ -0,0 +1,21 @@
+#ifndef ARBUTUS_ROUTER_SHARD_H
+#define ARBUTUS_ROUTER_SHARD_H
+
+#include "net/http_client.h"
+#include <asio/io_context.hpp>
+
+namespace arbutus::router {
+
+/// One I/O thread's event loop and its upstream connections. A request stays
+/// on the shard that accepted it.
+struct shard {
+  explicit shard(int Index) : Index(Index), Io(1), Client(Io) {}
+
+  int Index;
+  asio::io_context Io;
+  net::http_client Client;
+};
+
+} // namespace arbutus::router
+
+#endif
--- a/src/router/stream_check.cpp
+++ b/src/router/stream_check.cpp
@@ -1,8 +1,9 @@
 #include "router/stream_check.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace arbutus::router {
 
 namespace {
@@ -101,7 +102,7 @@
     State = stream_state::Malformed;
     return;
   }
-  if (Id->get_ref<const std::string &>() != RequestId) {
+  if (Id->get_ref<const std::string &>() != UpstreamId) {
     State = stream_state::WrongId;
     return;
   }
@@ -117,7 +118,10 @@
       (Usage == Chunk.end() || !Usage->is_object())) {
     ++Tokens;
   }
-  Forward += Event;
+  const auto At = Event.find(UpstreamId);
+  Forward += Event.substr(0, At);
+  Forward += PublicId;
+  Forward += Event.substr(At + UpstreamId.size());
   Forward += "\n\n";
 }
 
--- a/src/router/stream_check.h
+++ b/src/router/stream_check.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_ROUTER_STREAM_CHECK_H
 
 #include "base/name_table.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -21,8 +22,10 @@
 /// object after `restart`.
 class stream_check {
 public:
-  explicit stream_check(std::string RequestId)
-      : RequestId(std::move(RequestId)) {}
+  /// `UpstreamId` is the id given to the engine, unique in the fleet;
+  /// `PublicId` is the one that the caller sees in its place.
+  stream_check(std::string UpstreamId, std::string PublicId)
+      : UpstreamId(std::move(UpstreamId)), PublicId(std::move(PublicId)) {}
 
   /// Takes bytes from the engine and returns whole checked events to forward.
   /// Nothing of a wrong chunk, or of what follows it, is returned. The end
@@ -43,7 +46,8 @@
   void takeChunk(std::string_view Json, std::string_view Event,
                  std::string &Forward);
 
-  std::string RequestId;
+  std::string UpstreamId;
+  std::string PublicId;
   std::string Buffer;
   stream_state State = stream_state::Open;
   std::uint64_t Tokens = 0;
