--- /dev/null
+++ b/src/control/messages.cpp
@@ -0,0 +1,39 @@
+#include "control/messages.h"
+
+namespace arbutus::control {
+
+wire_node toWire(const live_node &Node) {
+  wire_node Wire;
+  Wire.Node = number(Node.Info.Node);
+  Wire.Incarnation = number(Node.Incarnation);
+  Wire.Name = Node.Info.Name;
+  Wire.FailureDomain = Node.Info.FailureDomain;
+  Wire.Region = Node.Info.Region;
+  Wire.HttpAddress = Node.Info.HttpAddress;
+  Wire.MeshAddress = Node.Info.MeshAddress;
+  Wire.Router = Node.Info.Router;
+  Wire.Control = Node.Info.Control;
+  Wire.Suspected = Node.Suspected;
+  Wire.Leaving = Node.Leaving;
+  Wire.Applied = number(Node.Applied);
+  return Wire;
+}
+
+live_node fromWire(const wire_node &Wire) {
+  live_node Node;
+  Node.Info.Node = node_id{Wire.Node};
+  Node.Incarnation = incarnation{Wire.Incarnation};
+  Node.Info.Name = Wire.Name;
+  Node.Info.FailureDomain = Wire.FailureDomain;
+  Node.Info.Region = Wire.Region;
+  Node.Info.HttpAddress = Wire.HttpAddress;
+  Node.Info.MeshAddress = Wire.MeshAddress;
+  Node.Info.Router = Wire.Router;
+  Node.Info.Control = Wire.Control;
+  Node.Suspected = Wire.Suspected;
+  Node.Leaving = Wire.Leaving;
+  Node.Applied = revision{Wire.Applied};
+  return Node;
+}
+
+} // namespace arbutus::control
--- /dev/null
+++ b/src/control/node_agent.cpp
@@ -0,0 +1,281 @@
+#include "control/node_agent.h"
+
+#include "base/codec.h"
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace arbutus::control {
+
+namespace {
+
+constexpr auto HeartbeatInterval = std::chrono::milliseconds(300);
+/// Time between two checks of waiting requests for passed deadlines.
+constexpr auto ExpiryInterval = std::chrono::milliseconds(50);
+/// Time after which a silent leader is no longer taken for the leader.
+constexpr duration LeaderSilence = 900ms;
+
+node_info infoOf(const settings::settings &Settings) {
+  node_info Info;
+  Info.Node = Settings.Node.Id;
+  Info.Name = Settings.Node.Name;
+  Info.FailureDomain = Settings.Node.FailureDomain;
+  Info.Region = Settings.Node.Region;
+  Info.HttpAddress = Settings.Listen.Http.text();
+  Info.MeshAddress = Settings.Listen.Mesh.text();
+  Info.Router = Settings.Node.Router;
+  Info.Control = Settings.Node.Control;
+  return Info;
+}
+
+} // namespace
+
+node_agent::node_agent(asio::io_context &Io, const settings::settings &Settings,
+                       send_function GivenSend, nodes_function OnNodes,
+                       incarnation_function OnIncarnation)
+    : Io(Io), Settings(Settings), Send(std::move(GivenSend)),
+      OnNodes(std::move(OnNodes)), OnIncarnation(std::move(OnIncarnation)),
+      HeartbeatTimer(Io), ReportTimer(Io), ExpiryTimer(Io),
+      Leader(Io,
+             [this](const api_request_message &Call) {
+               sendToLeader(net::message_kind::ApiRequest, encode(Call));
+             }),
+      Pools(Io, Settings.Node.Id,
+            [this](node_id To, pool_id Pool, const pool::pool_grant &Grant) {
+              Send(To, net::message_kind::PoolGrant,
+                   encode(pool_message{number(Pool), encode(Grant)}));
+            }) {}
+
+void node_agent::start(router::router_context &GivenContext) {
+  Context = &GivenContext;
+  heartbeat();
+  armHeartbeat();
+  armExpiry();
+}
+
+void node_agent::onFrame(node_id From, incarnation Incarnation,
+                         net::message_kind Kind, const std::string &Payload) {
+  switch (Kind) {
+  case net::message_kind::HeartbeatReply:
+    if (const auto Reply = decode<heartbeat_reply_message>(Payload)) {
+      onHeartbeatReply(From, Reply.value());
+    }
+    return;
+  case net::message_kind::ConfigUpdate:
+    if (const auto Update = decode<store::config_update>(Payload)) {
+      onConfigUpdate(Update.value());
+    }
+    return;
+  case net::message_kind::PoolReport:
+    if (const auto Message = decode<pool_message>(Payload)) {
+      if (const auto Report =
+              decode<pool::pool_report>(Message.value().Content)) {
+        Pools.onReport(From, Incarnation, pool_id{Message.value().Pool},
+                       Report.value());
+      }
+    }
+    return;
+  case net::message_kind::PoolGrant:
+    if (const auto Message = decode<pool_message>(Payload)) {
+      if (const auto Grant =
+              decode<pool::pool_grant>(Message.value().Content)) {
+        Context->Pools.onGrant(From, pool_id{Message.value().Pool},
+                               Grant.value());
+        flushReports();
+      }
+    }
+    return;
+  case net::message_kind::ClaimReply:
+    if (const auto Reply = decode<command_reply_message>(Payload)) {
+      if (const auto Outcome =
+              decode<store::command_outcome>(Reply.value().Outcome)) {
+        Context->Claims.onReply(Reply.value().Number, Outcome.value());
+      }
+    }
+    return;
+  case net::message_kind::ApiReply:
+    if (const auto Reply = decode<api_reply_message>(Payload)) {
+      Leader.onReply(Reply.value());
+    }
+    return;
+  default:
+    return;
+  }
+}
+
+void node_agent::sendCommand(std::uint64_t Number, const std::string &Command) {
+  sendToLeader(net::message_kind::ClaimRequest,
+               encode(command_message{Number, Command}));
+}
+
+void node_agent::flushReports() {
+  for (const auto &Report : Context->Pools.collectReports()) {
+    Send(Report.Grantor, net::message_kind::PoolReport,
+         encode(pool_message{number(Report.Pool), encode(Report.Report)}));
+  }
+  const instant Next = Context->Pools.nextReport();
+  if (Next == instant::max()) {
+    return;
+  }
+  const duration Wait = std::max(Next - monotonic_clock::now(), duration(50));
+  ReportTimer.expires_after(Wait);
+  ReportTimer.async_wait([this](const asio::error_code &Error) {
+    if (!Error) {
+      flushReports();
+    }
+  });
+}
+
+void node_agent::announceLeaving() {
+  Leaving = true;
+  heartbeat();
+}
+
+void node_agent::heartbeat() {
+  heartbeat_message Message;
+  live_node Self;
+  Self.Info = infoOf(Settings);
+  Self.Incarnation = Context->Incarnation.load();
+  Self.Leaving = Leaving;
+  Self.Applied = Replica.currentRevision();
+  Message.Self = toWire(Self);
+  Message.Position = Replica.position();
+  Message.SendTime = toMicros(monotonic_clock::now());
+  Message.NodesTerm = NodesTerm;
+  Message.NodesVersion = NodesVersion;
+  const std::string Payload = encode(Message);
+  // Every voter hears it, so that a new leader knows the nodes at once.
+  for (const auto &Voter : Settings.Fleet.Control) {
+    Send(Voter.Id, net::message_kind::Heartbeat, Payload);
+  }
+}
+
+void node_agent::armHeartbeat() {
+  HeartbeatTimer.expires_after(HeartbeatInterval);
+  HeartbeatTimer.async_wait([this](const asio::error_code &Error) {
+    if (!Error) {
+      heartbeat();
+      armHeartbeat();
+    }
+  });
+}
+
+void node_agent::armExpiry() {
+  ExpiryTimer.expires_after(ExpiryInterval);
+  ExpiryTimer.async_wait([this](const asio::error_code &Error) {
+    if (!Error) {
+      Context->Pools.expire();
+      armExpiry();
+    }
+  });
+}
+
+void node_agent::onHeartbeatReply(node_id From,
+                                  const heartbeat_reply_message &Reply) {
+  const instant Now = monotonic_clock::now();
+  if (!Reply.Leader) {
+    const bool Unknown = !LeaderNode || Now > LeaderHeard + LeaderSilence;
+    if (Unknown && Reply.LeaderHint != 0) {
+      LeaderNode = node_id{Reply.LeaderHint};
+    }
+    return;
+  }
+  if (Reply.Term < LeaderTerm) {
+    return;
+  }
+  LeaderTerm = Reply.Term;
+  LeaderNode = From;
+  LeaderHeard = Now;
+  if (number(Context->Incarnation.load()) <= Reply.Closed) {
+    renewIncarnation(incarnation{Reply.Closed});
+    return;
+  }
+  takeNodes(Reply);
+  takeLease(Reply);
+}
+
+void node_agent::takeLease(const heartbeat_reply_message &Reply) {
+  // Without the committed revision in force, new work could go to an upstream
+  // or failure domain that has left.
+  if (Reply.LeaseMicros == 0 || Reply.SendTime == 0) {
+    return;
+  }
+  const std::int64_t Until = Reply.SendTime + Reply.LeaseMicros;
+  if (Until <= Context->LeaseUntil.load()) {
+    return;
+  }
+  Context->LeaseUntil.store(Until, std::memory_order_release);
+  Context->Pools.setLease(instantFromMicros(Until));
+}
+
+void node_agent::takeNodes(const heartbeat_reply_message &Reply) {
+  if (!Reply.HasNodes ||
+      (NodesTerm == Reply.Term && NodesVersion >= Reply.NodesVersion)) {
+    return;
+  }
+  NodesTerm = Reply.Term;
+  NodesVersion = Reply.NodesVersion;
+  auto Nodes = std::make_shared<std::vector<live_node>>();
+  for (const auto &Wire : Reply.Nodes) {
+    Nodes->push_back(fromWire(Wire));
+  }
+  OnNodes(*Nodes);
+  Pools.setNodes(*Nodes);
+  auto State = Context->Routing.read([](const auto &Old) { return Old; });
+  State.Nodes = std::move(Nodes);
+  Context->Routing.replace(
+      std::make_unique<router::routing_state>(std::move(State)));
+}
+
+void node_agent::onConfigUpdate(const store::config_update &Update) {
+  const auto Applied = Replica.apply(Update);
+  if (Applied.has_error()) {
+    logEvent(log_level::Debug, "config_refused",
+             {{"code", nameOf(Applied.error().Code)},
+              {"revision", number(Update.Revision)}});
+    return;
+  }
+  if (!Applied.value()) {
+    return;
+  }
+  View = std::make_shared<const store::config_view>(Replica);
+  auto State = Context->Routing.read([](const auto &Old) { return Old; });
+  State.View = View;
+  Context->Routing.replace(
+      std::make_unique<router::routing_state>(std::move(State)));
+  Context->Pools.configure(*View);
+  Context->Retries.setPercent(
+      static_cast<int>(View->policyValues().RetryBudgetPercent));
+  Pools.configure(View);
+  logEvent(log_level::Info, "config_in_force",
+           {{"revision", number(Replica.currentRevision())}});
+  heartbeat(); // tells the leader, and renews the lease
+  flushReports();
+}
+
+void node_agent::renewIncarnation(incarnation Closed) {
+  const auto Wall = static_cast<std::uint64_t>(wallClockMillis());
+  const incarnation Next{std::max(number(Closed) + 1, Wall)};
+  logEvent(
+      log_level::Warning, "session_lost",
+      {{"old", number(Context->Incarnation.load())}, {"new", number(Next)}});
+  Context->Incarnation = Next;
+  Context->Pools.setSession(Next);
+  OnIncarnation(Next);
+  heartbeat();
+}
+
+void node_agent::sendToLeader(net::message_kind Kind,
+                              const std::string &Payload) {
+  const instant Now = monotonic_clock::now();
+  if (LeaderNode && Now <= LeaderHeard + LeaderSilence) {
+    Send(*LeaderNode, Kind, Payload);
+    return;
+  }
+  // Only the leader acts on it, so asking all voters is safe.
+  for (const auto &Voter : Settings.Fleet.Control) {
+    Send(Voter.Id, Kind, Payload);
+  }
+}
+
+} // namespace arbutus::control
--- /dev/null
+++ b/src/control/pool_host.cpp
@@ -0,0 +1,254 @@
+#include "control/pool_host.h"
+
+#include "base/log.h"
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace arbutus::control {
+
+namespace {
+
+/// Time between two runs without an event; limits grow and grants are resent
+/// in these steps.
+constexpr auto RunInterval = std::chrono::milliseconds(20);
+/// Time between two load polls of an upstream.
+constexpr auto PollInterval = std::chrono::milliseconds(500);
+constexpr duration PollTimeout = 400ms;
+
+} // namespace
+
+pool_host::pool_host(asio::io_context &Io, node_id Self, send_function Send)
+    : Io(Io), Client(Io), RunTimer(Io), PollTimer(Io), Self(Self),
+      Send(std::move(Send)) {
+  armTimer();
+  pollLoads();
+}
+
+void pool_host::configure(
+    const std::shared_ptr<const store::config_view> &NewView) {
+  View = NewView;
+  const instant Now = monotonic_clock::now();
+  std::map<pool_id, std::unique_ptr<hosted_pool>> Next;
+  for (const auto &Service : View->services()) {
+    if (Service.Grantor != Self || number(Service.Epoch) == 0) {
+      continue;
+    }
+    auto It = Pools.find(Service.Pool);
+    if (It != Pools.end() &&
+        It->second->Grantor.currentEpoch() == Service.Epoch) {
+      Next[Service.Pool] = std::move(It->second);
+    } else {
+      Next[Service.Pool] =
+          std::make_unique<hosted_pool>(Service.Pool, Service.Epoch, Now);
+      logEvent(log_level::Info, "grantor_started",
+               {{"pool", Service.Name}, {"epoch", number(Service.Epoch)}});
+    }
+    feed(*Next[Service.Pool], Service);
+  }
+  Pools = std::move(Next);
+  runSoon();
+}
+
+void pool_host::setNodes(const std::vector<live_node> &Nodes) {
+  Members.clear();
+  for (const auto &Node : Nodes) {
+    if (Node.Info.Router) {
+      Members.push_back({Node.Info.Node, Node.Incarnation,
+                         Node.Suspected ? pool::member_state::Suspected
+                                        : pool::member_state::Live});
+    }
+  }
+  const instant Now = monotonic_clock::now();
+  for (auto &[Id, Pool] : Pools) {
+    Pool->Grantor.setMembers(Members, Now);
+    Pool->HasMembers = true;
+  }
+  runSoon();
+}
+
+void pool_host::onReport(node_id From, incarnation Incarnation, pool_id Pool,
+                         const pool::pool_report &Report) {
+  const auto It = Pools.find(Pool);
+  if (It != Pools.end()) {
+    It->second->Grantor.onReport(From, Incarnation, Report,
+                                 monotonic_clock::now());
+    runSoon();
+  }
+}
+
+void pool_host::feed(hosted_pool &Pool, const store::service_entry &Service) {
+  const instant Now = monotonic_clock::now();
+  std::vector<pool::upstream_config> Upstreams;
+  for (const auto &Member : Service.Members) {
+    pool::upstream_config Config;
+    Config.Upstream = Member.Id;
+    Config.Ceiling = Member.Ceiling;
+    Config.FirstLimit = Member.FirstLimit;
+    Config.Growth = Member.Growth;
+    Config.Usable = Member.Usable;
+    Config.FailureDomain = Member.FailureDomain;
+    Upstreams.push_back(std::move(Config));
+  }
+  std::vector<std::pair<team_id, double>> Weights;
+  for (const auto &Team : View->teams()) {
+    if (Team.mayUse(Service.Name)) {
+      Weights.emplace_back(Team.Id, Team.Spec->Weight);
+    }
+  }
+  Pool.Grantor.setUpstreams(Upstreams, Now);
+  Pool.Grantor.setTeams(Weights);
+  if (!Pool.HasMembers && !Members.empty()) {
+    Pool.Grantor.setMembers(Members, Now);
+    Pool.HasMembers = true;
+  }
+}
+
+void pool_host::runSoon() {
+  if (RunPosted) {
+    return;
+  }
+  RunPosted = true;
+  asio::post(Io, [this] {
+    RunPosted = false;
+    run();
+  });
+}
+
+void pool_host::run() {
+  const instant Now = monotonic_clock::now();
+  for (auto &[Id, Pool] : Pools) {
+    // Without the sessions it is not known who may hold slots.
+    if (!Pool->HasMembers) {
+      continue;
+    }
+    auto Result = Pool->Grantor.run(Now);
+    for (const auto &[Node, Grant] : Result.Grants) {
+      Send(Node, Id, Grant);
+    }
+    logDecisions(Id, Result.Decisions);
+  }
+}
+
+void pool_host::armTimer() {
+  RunTimer.expires_after(RunInterval);
+  RunTimer.async_wait([this](const asio::error_code &Error) {
+    if (!Error) {
+      run();
+      armTimer();
+    }
+  });
+}
+
+void pool_host::pollLoads() {
+  PollTimer.expires_after(PollInterval);
+  PollTimer.async_wait([this](const asio::error_code &Error) {
+    if (Error) {
+      return;
+    }
+    for (const auto &[Id, Pool] : Pools) {
+      const auto *Service = View->serviceByPool(Id);
+      if (Service == nullptr) {
+        continue;
+      }
+      for (const auto &Member : Service->Members) {
+        pollLoad(Id, Member.Id, Member.Address);
+      }
+    }
+    pollLoads();
+  });
+}
+
+void pool_host::pollLoad(pool_id Pool, upstream_id Upstream,
+                         std::string_view Address) {
+  const instant Sent = monotonic_clock::now();
+  const auto Body = std::make_shared<std::string>();
+  const auto Status = std::make_shared<int>(0);
+  net::http_call Call;
+  Call.Method = "GET";
+  Call.Url = "http://" + std::string(Address) + "/load";
+  Call.Timeout = PollTimeout;
+  Call.OnHeaders = [Status](int Code, const net::http_headers &) {
+    *Status = Code;
+  };
+  Call.OnBody = [Body](std::string_view Bytes) { *Body += Bytes; };
+  Call.OnDone = [this, Pool, Upstream, Body, Status,
+                 Sent](net::call_outcome Outcome) {
+    if (Outcome == net::call_outcome::Complete && *Status == 200) {
+      onLoad(Pool, Upstream, *Body, Sent);
+    }
+  };
+  Client.start(std::move(Call));
+}
+
+void pool_host::onLoad(pool_id Pool, upstream_id Upstream,
+                       const std::string &Body, instant Sent) {
+  const auto It = Pools.find(Pool);
+  const auto Json = nlohmann::json::parse(Body, nullptr, false);
+  if (It == Pools.end() || !Json.is_object()) {
+    return;
+  }
+  const auto Field = [&Json](const char *Name) -> std::uint64_t {
+    const auto Value = Json.find(Name);
+    return Value != Json.end() && Value->is_number_unsigned()
+               ? Value->get<std::uint64_t>()
+               : 0;
+  };
+  const instant Now = monotonic_clock::now();
+  pool::load_report Report;
+  Report.Incarnation = incarnation{Field("incarnation")};
+  Report.Running = static_cast<std::uint32_t>(Field("running"));
+  Report.Waiting = static_cast<std::uint32_t>(Field("waiting"));
+  // The figures are as old as the stated lag, and the answer's own way.
+  Report.MeasuredAt = Now;
+  Report.Lag = std::chrono::milliseconds(Field("lag_ms")) + (Now - Sent);
+  It->second->Grantor.onLoadReport(Upstream, Report, Now);
+}
+
+void pool_host::logDecisions(pool_id Pool, const pool::decisions &Decisions) {
+  const auto *Service = View->serviceByPool(Pool);
+  const std::string_view Name = Service != nullptr ? Service->Name : "";
+  for (const auto &Granted : Decisions.Granted) {
+    const auto *Team = Granted.Team ? View->teamById(*Granted.Team) : nullptr;
+    logEvent(log_level::Info, "grant",
+             {{"pool", Name},
+              {"reason", nameOf(Granted.Reason)},
+              {"team", Team != nullptr ? Team->Name : "-"},
+              {"upstream", nameOfUpstream(Pool, Granted.Upstream)},
+              {"router", number(Granted.Node)},
+              {"count", Granted.Count}});
+  }
+  for (const auto &Limit : Decisions.Limits) {
+    logEvent(log_level::Info, "limit",
+             {{"pool", Name},
+              {"upstream", nameOfUpstream(Pool, Limit.Upstream)},
+              {"before", Limit.Before},
+              {"after", Limit.After},
+              {"cause", nameOf(Limit.Cause)}});
+  }
+  for (const auto &Breaker : Decisions.Breakers) {
+    logEvent(log_level::Warning, "circuit_breaker",
+             {{"pool", Name},
+              {"upstream", nameOfUpstream(Pool, Breaker.Upstream)},
+              {"state", nameOf(Breaker.State)}});
+  }
+  if (Decisions.Contended) {
+    logEvent(log_level::Info, "contended",
+             {{"pool", Name}, {"contended", *Decisions.Contended}});
+  }
+}
+
+std::string_view pool_host::nameOfUpstream(pool_id Pool,
+                                           upstream_id Upstream) const {
+  if (const auto *Service = View->serviceByPool(Pool)) {
+    for (const auto &Member : Service->Members) {
+      if (Member.Id == Upstream) {
+        return Member.Name;
+      }
+    }
+  }
+  return "-";
+}
+
+} // namespace arbutus::control
--- /dev/null
+++ b/src/control/pool_host.h
@@ -0,0 +1,73 @@
+#ifndef ARBUTUS_CONTROL_POOL_HOST_H
+#define ARBUTUS_CONTROL_POOL_HOST_H
+
+#include "control/node_session.h"
+#include "net/http_client.h"
+#include "pool/grantor.h"
+#include "store/config_view.h"
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace arbutus::control {
+
+/// Runs the grantors of the pools that are assigned to this node, and polls
+/// the load of their upstreams. Control thread only.
+class pool_host {
+public:
+  using send_function = std::function<void(node_id To, pool_id Pool,
+                                           const pool::pool_grant &Grant)>;
+
+  pool_host(asio::io_context &Io, node_id Self, send_function Send);
+  pool_host(const pool_host &) = delete;
+  pool_host &operator=(const pool_host &) = delete;
+
+  /// Starts and stops grantors as the configuration assigns them.
+  void configure(const std::shared_ptr<const store::config_view> &View);
+
+  /// Sets the sessions of routers.
+  void setNodes(const std::vector<live_node> &Nodes);
+
+  void onReport(node_id From, incarnation Incarnation, pool_id Pool,
+                const pool::pool_report &Report);
+
+  [[nodiscard]] std::size_t hosted() const noexcept { return Pools.size(); }
+
+private:
+  struct hosted_pool {
+    hosted_pool(pool_id Pool, epoch Epoch, instant Now)
+        : Grantor(Pool, Epoch, pool::grantor_options{}, Now) {}
+    pool::grantor Grantor;
+    bool HasMembers = false;
+  };
+
+  void feed(hosted_pool &Pool, const store::service_entry &Service);
+  void run();
+  void runSoon();
+  void armTimer();
+  void pollLoads();
+  void pollLoad(pool_id Pool, upstream_id Upstream, std::string_view Address);
+  void onLoad(pool_id Pool, upstream_id Upstream, const std::string &Body,
+              instant Sent);
+  void logDecisions(pool_id Pool, const pool::decisions &Decisions);
+  [[nodiscard]] std::string_view nameOfUpstream(pool_id Pool,
+                                                upstream_id Upstream) const;
+
+  asio::io_context &Io;
+  net::http_client Client;
+  asio::steady_timer RunTimer;
+  asio::steady_timer PollTimer;
+  node_id Self;
+  send_function Send;
+  std::shared_ptr<const store::config_view> View;
+  std::vector<pool::member> Members;
+  std::map<pool_id, std::unique_ptr<hosted_pool>> Pools;
+  bool RunPosted = false;
+};
+
+} // namespace arbutus::control
+
+#endif
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -385,12 +385,16 @@
   }
   const auto *Member = memberOf(*Request, Upstream);
   const instant Now = monotonic_clock::now();
-  if (Member == nullptr || !Member->Usable ||
-      !holdsLease(Request->Context, Now)) {
+  if (!holdsLease(Request->Context, Now)) {
     returnSlot(*Request);
-    failWaiting(Request, Member == nullptr || !Member->Usable
-                             ? request_error::NoUpstream
-                             : request_error::NotServing);
+    failWaiting(Request, request_error::NotServing);
+    return;
+  }
+  if (Member == nullptr || !Member->Usable) {
+    // The upstream left between the grant and now; others may serve.
+    returnSlot(*Request);
+    Request->Excluded.push_back(Upstream);
+    enqueueRequest(Request);
     return;
   }
   Request->Phase = request_phase::Calling;
