--- /dev/null
+++ b/src/consensus/election.cpp
@@ -0,0 +1,132 @@
+#include "consensus/election.h"
+
+#include "consensus/replication.h"
+
+namespace arbutus::consensus::impl {
+namespace {
+
+void requestVotes(raft_state &State, bool PreVote) {
+  for (const auto &Voter : State.voters().Voters) {
+    if (Voter.node() == State.Options.Self) {
+      continue;
+    }
+    sendMessage(State, Voter.node(),
+                vote_request{PreVote, State.Log.lastIndex(),
+                             State.Log.lastTerm(), Voter.Disk});
+    if (PreVote) {
+      State.Out.Messages.back().Term = State.Hard.Term + 1;
+    }
+  }
+}
+
+void startElection(raft_state &State) {
+  State.Role = role::Candidate;
+  State.Votes = {State.Options.Self};
+  setHardState(State, State.Hard.Term + 1, State.Options.Self);
+  resetElectionTimer(State);
+  requestVotes(State, false);
+}
+
+/// Goes on when a majority has voted, which a sole voter has by itself.
+void countVotes(raft_state &State) {
+  const auto HasMajority = [&State] {
+    return State.Votes.size() >= State.voters().majority();
+  };
+  if (State.Role == role::PreCandidate && HasMajority()) {
+    startElection(State);
+  }
+  if (State.Role == role::Candidate && HasMajority()) {
+    becomeLeader(State);
+  }
+}
+
+bool logIsUpToDate(const raft_state &State, const vote_request &Request) {
+  const auto LastTerm = State.Log.lastTerm();
+  return Request.LastTerm > LastTerm ||
+         (Request.LastTerm == LastTerm &&
+          Request.LastIndex >= State.Log.lastIndex());
+}
+
+} // namespace
+
+void resetElectionTimer(raft_state &State) {
+  const auto Spread = static_cast<std::uint64_t>(
+      toMicros(State.Options.ElectionMax - State.Options.ElectionMin));
+  const auto Extra = static_cast<std::int64_t>(State.Random() % (Spread + 1));
+  State.ElectionAt = State.Now + State.Options.ElectionMin + duration(Extra);
+}
+
+void becomeFollower(raft_state &State, std::uint64_t Term,
+                    std::optional<node_id> Leader) {
+  if (Term > State.Hard.Term) {
+    setHardState(State, Term, std::nullopt);
+  }
+  if (State.Role == role::Leader) {
+    resetElectionTimer(State);
+  }
+  State.Role = role::Follower;
+  State.Leader = Leader;
+  State.Members.clear();
+  State.Votes.clear();
+}
+
+void startPreVote(raft_state &State) {
+  resetElectionTimer(State);
+  State.Leader.reset();
+  if (!State.mayVote()) {
+    return;
+  }
+  State.Role = role::PreCandidate;
+  State.Votes = {State.Options.Self};
+  requestVotes(State, true);
+  countVotes(State);
+}
+
+bool leaderMayHoldLease(const raft_state &State) {
+  return State.Role == role::Leader ||
+         State.Now - State.LeaderHeardAt < State.Options.ElectionMin;
+}
+
+void onVoteRequest(raft_state &State, const message &Message,
+                   const vote_request &Request) {
+  const bool Eligible = disk_id{Request.VoterDisk} == State.Options.Disk &&
+                        logIsUpToDate(State, Request) &&
+                        !leaderMayHoldLease(State);
+  if (Request.PreVote) {
+    const bool Granted = Eligible && Message.Term > State.Hard.Term;
+    sendMessage(State, Message.from(),
+                vote_reply{true, Granted, number(State.Options.Disk)});
+    if (Granted) {
+      State.Out.Messages.back().Term = Message.Term;
+    }
+    return;
+  }
+  const bool Granted =
+      Eligible && Message.Term == State.Hard.Term &&
+      (!State.Hard.VotedFor || *State.Hard.VotedFor == Message.from());
+  if (Granted) {
+    if (!State.Hard.VotedFor) {
+      setHardState(State, State.Hard.Term, Message.from());
+    }
+    State.Role = role::Follower;
+    resetElectionTimer(State);
+  }
+  sendMessage(State, Message.from(),
+              vote_reply{false, Granted, number(State.Options.Disk)});
+}
+
+void onVoteReply(raft_state &State, const message &Message,
+                 const vote_reply &Reply) {
+  const bool Expected = Reply.PreVote ? State.Role == role::PreCandidate &&
+                                            Message.Term == State.Hard.Term + 1
+                                      : State.Role == role::Candidate &&
+                                            Message.Term == State.Hard.Term;
+  if (!Expected || !Reply.Granted ||
+      !State.voters().isVoter(Message.from(), disk_id{Reply.VoterDisk})) {
+    return;
+  }
+  State.Votes.insert(Message.from());
+  countVotes(State);
+}
+
+} // namespace arbutus::consensus::impl
--- /dev/null
+++ b/src/consensus/membership.h
@@ -0,0 +1,20 @@
+#ifndef ARBUTUS_CONSENSUS_MEMBERSHIP_H
+#define ARBUTUS_CONSENSUS_MEMBERSHIP_H
+
+#include "base/result.h"
+#include "consensus/raft_state.h"
+
+namespace arbutus::consensus::impl {
+
+/// True while a voter set in the log is not committed yet.
+[[nodiscard]] bool changeInProgress(const raft_state &State);
+
+/// Returns the voter set after a change of one member, or why the change is
+/// refused. Two sets that follow each other differ by at most one voter, so
+/// that any two of their majorities share a voter.
+[[nodiscard]] result<voter_set, refusal_reason>
+changedVoters(const raft_state &State, const voter_change &Change);
+
+} // namespace arbutus::consensus::impl
+
+#endif
--- /dev/null
+++ b/src/consensus/raft_node.cpp
@@ -0,0 +1,256 @@
+#include "consensus/raft_node.h"
+
+#include "consensus/election.h"
+#include "consensus/membership.h"
+#include "consensus/raft_state.h"
+#include "consensus/replication.h"
+#include "consensus/snapshot_transfer.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace arbutus::consensus {
+namespace impl {
+namespace {
+
+refusal refused(const raft_state &State, refusal_reason Reason) {
+  return {Reason, State.Leader};
+}
+
+/// Restores the voter sets of the snapshot and of the entries after it.
+void readVoters(raft_state &State, const recovered_state &Recovered) {
+  std::uint64_t Covered = 0;
+  State.VoterHistory.push_back({0, {}});
+  if (Recovered.Snapshot) {
+    Covered = Recovered.Snapshot->Meta.Index;
+    State.VoterHistory.back() = {Covered, Recovered.Snapshot->Meta.Voters};
+  }
+  for (const auto &Entry : Recovered.Entries) {
+    if (Entry.Kind == entry_kind::Voters && Entry.Index > Covered) {
+      if (auto Set = decode<voter_set>(Entry.Payload)) {
+        State.VoterHistory.push_back({Entry.Index, std::move(Set.value())});
+      }
+    }
+  }
+}
+
+void handle(raft_state &State, const tick & /*Tick*/) {
+  if (State.Role == role::Leader) {
+    if (State.Now >= State.HeartbeatAt) {
+      sendHeartbeats(State);
+    }
+  } else if (State.Now >= State.ElectionAt) {
+    startPreVote(State);
+  }
+}
+
+/// Answers a message of an earlier term, so that its sender learns the new
+/// one. Replies of an earlier term are dropped.
+void answerOldTerm(raft_state &State, const message &Message) {
+  const auto Disk = number(State.Options.Disk);
+  if (const auto *Request = std::get_if<vote_request>(&Message.Body)) {
+    sendMessage(State, Message.from(),
+                vote_reply{Request->PreVote, false, Disk});
+  } else if (std::holds_alternative<append_request>(Message.Body) ||
+             std::holds_alternative<snapshot_chunk>(Message.Body)) {
+    sendMessage(State, Message.from(), append_reply{false, 0, 0, Disk});
+  }
+}
+
+void dispatch(raft_state &State, const message &Message) {
+  std::visit(
+      [&State, &Message](const auto &Body) {
+        using body = std::decay_t<decltype(Body)>;
+        if constexpr (std::is_same_v<body, vote_request>) {
+          onVoteRequest(State, Message, Body);
+        } else if constexpr (std::is_same_v<body, vote_reply>) {
+          onVoteReply(State, Message, Body);
+        } else if constexpr (std::is_same_v<body, append_request>) {
+          onAppendRequest(State, Message, Body);
+        } else if constexpr (std::is_same_v<body, append_reply>) {
+          onAppendReply(State, Message, Body);
+        } else if constexpr (std::is_same_v<body, snapshot_chunk>) {
+          onSnapshotChunk(State, Message, Body);
+        } else {
+          onSnapshotReply(State, Message, Body);
+        }
+      },
+      Message.Body);
+}
+
+void handle(raft_state &State, const peer_message &Input) {
+  const auto &Message = Input.Message;
+  if (Message.to() != State.Options.Self ||
+      Message.from() == State.Options.Self) {
+    return;
+  }
+  const auto *Request = std::get_if<vote_request>(&Message.Body);
+  const auto *Reply = std::get_if<vote_reply>(&Message.Body);
+  // A pre-vote and the grant of one speak of a term that nobody is in yet.
+  const bool PreVote = (Request != nullptr && Request->PreVote) ||
+                       (Reply != nullptr && Reply->PreVote && Reply->Granted);
+  if (!PreVote && Message.Term > State.Hard.Term) {
+    if (Request != nullptr && leaderMayHoldLease(State)) {
+      // A vote now could make a leader beside one that answers reads under
+      // its lease.
+      return;
+    }
+    becomeFollower(State, Message.Term, std::nullopt);
+  }
+  if (Message.Term < State.Hard.Term) {
+    answerOldTerm(State, Message);
+    return;
+  }
+  dispatch(State, Message);
+}
+
+void handle(raft_state &State, const proposal_batch &Batch) {
+  if (State.Role != role::Leader) {
+    State.Out.Refused = refused(State, refusal_reason::NotLeader);
+    return;
+  }
+  if (Batch.Payloads.empty()) {
+    return;
+  }
+  const auto First = State.Log.lastIndex() + 1;
+  for (const auto &Payload : Batch.Payloads) {
+    appendEntry(State, {State.Log.lastIndex() + 1, State.Hard.Term,
+                        entry_kind::Proposal, Payload});
+  }
+  State.Out.Accepted =
+      accepted_range{First, State.Log.lastIndex(), State.Hard.Term};
+  sendEntries(State);
+}
+
+void handle(raft_state &State, const voter_change &Change) {
+  const auto Refuse = [&State](refusal_reason Reason) {
+    State.Out.Refused = refused(State, Reason);
+  };
+  if (State.Role != role::Leader) {
+    return Refuse(refusal_reason::NotLeader);
+  }
+  // Without an entry of its own term the leader cannot know whether an earlier
+  // leader's change is committed, and two open changes could differ by two
+  // voters.
+  if (State.Commit < State.TermStart) {
+    return Refuse(refusal_reason::NoEntryOfTerm);
+  }
+  if (changeInProgress(State)) {
+    return Refuse(refusal_reason::ChangeInProgress);
+  }
+  const auto Set = changedVoters(State, Change);
+  if (!Set) {
+    return Refuse(Set.error());
+  }
+  const auto Index = State.Log.lastIndex() + 1;
+  appendEntry(
+      State, {Index, State.Hard.Term, entry_kind::Voters, encode(Set.value())});
+  trackMembers(State);
+  State.Out.Accepted = accepted_range{Index, Index, State.Hard.Term};
+  sendEntries(State);
+}
+
+void handle(raft_state &State, const snapshot_saved &Saved) {
+  onSnapshotSaved(State, Saved);
+}
+
+void handle(raft_state &State, const writes_synced &Synced) {
+  while (!State.Pending.empty() &&
+         State.Pending.front().Sequence <= Synced.Sequence) {
+    State.SyncedSequence = State.Pending.front().Sequence;
+    State.SyncedIndex =
+        std::max(State.SyncedIndex, State.Pending.front().LastIndex);
+    State.Pending.pop_front();
+  }
+  if (State.Role == role::Leader) {
+    advanceCommit(State);
+  }
+}
+
+void handle(raft_state &State, const storage_failed & /*Failed*/) {
+  State.Role = role::Failed;
+  State.Leader.reset();
+  State.Members.clear();
+}
+
+} // namespace
+} // namespace impl
+
+using namespace impl;
+
+raft_node::raft_node(const raft_options &Options, recovered_state Recovered,
+                     std::mt19937_64 Random, instant Now)
+    : State(std::make_unique<raft_state>()) {
+  State->Options = Options;
+  State->Random = Random;
+  State->Hard = Recovered.Hard;
+  State->Log = raft_log(Recovered);
+  readVoters(*State, Recovered);
+  State->Snapshot = std::move(Recovered.Snapshot);
+  State->Commit = State->Snapshot ? State->Snapshot->Meta.Index : 0;
+  State->SyncedIndex = State->Log.lastIndex();
+  State->Now = Now;
+  State->LeaderHeardAt = Now;
+  resetElectionTimer(*State);
+}
+
+raft_node::raft_node(raft_node &&) noexcept = default;
+raft_node &raft_node::operator=(raft_node &&) noexcept = default;
+raft_node::~raft_node() = default;
+
+output raft_node::step(const input &Input, instant Now) {
+  State->Out = {};
+  State->Now = Now;
+  if (State->Role == role::Failed) {
+    if (std::holds_alternative<proposal_batch>(Input) ||
+        std::holds_alternative<voter_change>(Input)) {
+      State->Out.Refused = refused(*State, refusal_reason::StorageFailed);
+    }
+    return std::move(State->Out);
+  }
+  if (State->Role == role::Leader && !quorumHeard(*State)) {
+    becomeFollower(*State, State->Hard.Term, std::nullopt);
+  }
+  std::visit([this](const auto &Kind) { handle(*State, Kind); }, Input);
+  return std::move(State->Out);
+}
+
+result<std::uint64_t, refusal> raft_node::readIndex(instant Now) const {
+  if (State->Role == role::Failed) {
+    return refused(*State, refusal_reason::StorageFailed);
+  }
+  if (State->Role != role::Leader) {
+    return refused(*State, refusal_reason::NotLeader);
+  }
+  if (State->Commit < State->TermStart) {
+    return refused(*State, refusal_reason::NoEntryOfTerm);
+  }
+  if (!holdsLease(*State, Now)) {
+    return refused(*State, refusal_reason::LeaseExpired);
+  }
+  return State->Commit;
+}
+
+std::optional<snapshot_meta>
+raft_node::snapshotMeta(std::uint64_t Index) const {
+  return metaAt(*State, Index);
+}
+
+status raft_node::currentStatus() const {
+  status Status;
+  Status.Self = State->Options.Self;
+  Status.Role = State->Role;
+  Status.Term = State->Hard.Term;
+  Status.Leader = State->Leader;
+  Status.FirstIndex = State->Log.baseIndex() + 1;
+  Status.LastIndex = State->Log.lastIndex();
+  Status.SyncedIndex = State->SyncedIndex;
+  Status.Commit = State->Commit;
+  Status.SnapshotIndex = State->Snapshot ? State->Snapshot->Meta.Index : 0;
+  Status.Voters = State->voters();
+  Status.MayVote = State->mayVote();
+  return Status;
+}
+
+} // namespace arbutus::consensus
--- /dev/null
+++ b/src/consensus/raft_state.cpp
@@ -0,0 +1,77 @@
+#include "consensus/raft_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace arbutus::consensus::impl {
+namespace {
+
+/// Gives this step's writes a sequence number, once.
+std::uint64_t writeSequence(raft_state &State) {
+  auto &Writes = State.Out.Writes;
+  if (Writes.Sequence == 0) {
+    Writes.Sequence = ++State.LastSequence;
+    State.Pending.push_back({Writes.Sequence, State.Log.lastIndex()});
+  }
+  return Writes.Sequence;
+}
+
+} // namespace
+
+void sendMessage(raft_state &State, node_id To, message_body Body) {
+  const bool FromLeader = std::holds_alternative<append_request>(Body) ||
+                          std::holds_alternative<snapshot_chunk>(Body);
+  const bool TermSynced = State.SyncedSequence >= State.HardSequence;
+  message Message{number(State.Options.Self), number(To), State.Hard.Term,
+                  std::move(Body)};
+  auto &Queue =
+      FromLeader && TermSynced ? State.Out.EarlyMessages : State.Out.Messages;
+  Queue.push_back(std::move(Message));
+}
+
+void setHardState(raft_state &State, std::uint64_t Term,
+                  std::optional<node_id> VotedFor) {
+  State.Hard = {Term, VotedFor};
+  State.HardSequence = writeSequence(State);
+  State.Out.Writes.Hard = State.Hard;
+}
+
+void appendEntry(raft_state &State, log_entry Entry) {
+  writeSequence(State);
+  if (Entry.Kind == entry_kind::Voters) {
+    if (auto Set = decode<voter_set>(Entry.Payload)) {
+      State.VoterHistory.push_back({Entry.Index, std::move(Set.value())});
+    }
+  }
+  State.Out.Writes.Append.push_back(Entry);
+  State.Log.append(std::move(Entry));
+  State.Pending.back().LastIndex = State.Log.lastIndex();
+}
+
+void truncateFrom(raft_state &State, std::uint64_t Index) {
+  writeSequence(State);
+  State.Out.Writes.TruncateFrom = Index;
+  State.Log.truncateFrom(Index);
+  while (State.VoterHistory.size() > 1 &&
+         State.VoterHistory.back().Index >= Index) {
+    State.VoterHistory.pop_back();
+  }
+  State.SyncedIndex = std::min(State.SyncedIndex, Index - 1);
+  for (auto &Write : State.Pending) {
+    Write.LastIndex = std::min(Write.LastIndex, Index - 1);
+  }
+}
+
+void dropWritten(raft_state &State, std::uint64_t Index) {
+  writeSequence(State);
+  State.Out.Writes.DropThrough = Index;
+}
+
+void commitTo(raft_state &State, std::uint64_t Index) {
+  while (State.Commit < Index) {
+    ++State.Commit;
+    State.Out.Committed.push_back(State.Log.at(State.Commit));
+  }
+}
+
+} // namespace arbutus::consensus::impl
--- /dev/null
+++ b/src/consensus/raft_state.h
@@ -0,0 +1,135 @@
+#ifndef ARBUTUS_CONSENSUS_RAFT_STATE_H
+#define ARBUTUS_CONSENSUS_RAFT_STATE_H
+
+#include "consensus/raft_log.h"
+#include "consensus/raft_node.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace arbutus::consensus::impl {
+
+/// A snapshot on its way to a member, one unanswered chunk at a time.
+struct snapshot_transfer {
+  snapshot Source;
+  std::uint64_t Offset = 0;
+  instant SentAt{};
+};
+
+/// What a leader knows about another member.
+struct progress {
+  std::uint64_t Match = 0; ///< synced there and equal to the leader's log
+  std::uint64_t Next = 1;  ///< first entry not sent yet
+  disk_id Disk{};          ///< data directory that `Match` refers to
+  bool Probing = true;     ///< where the logs match is not known yet
+  std::size_t InFlight = 0;
+  instant HeardAt{};
+  std::optional<instant> AckedSentAt; ///< send time of the newest answered one
+  std::optional<snapshot_transfer> Transfer;
+};
+
+/// A snapshot of which not all chunks have arrived.
+struct incoming_snapshot {
+  node_id From{};
+  std::uint64_t Term = 0;
+  snapshot_meta Meta;
+  std::uint64_t TotalBytes = 0;
+  std::string Bytes;
+};
+
+/// The voter set that is in force from an index on.
+struct voters_from {
+  std::uint64_t Index = 0;
+  voter_set Voters;
+};
+
+/// Writes that were given out and may not be synced yet.
+struct pending_write {
+  std::uint64_t Sequence = 0;
+  std::uint64_t LastIndex = 0;
+};
+
+/// Everything a node knows. The functions of election.h, replication.h,
+/// snapshot_transfer.h and membership.h work on it.
+struct raft_state {
+  raft_options Options;
+  std::mt19937_64 Random;
+  role Role = role::Follower;
+  hard_state Hard;
+  raft_log Log;
+  std::uint64_t Commit = 0; ///< also the last index given out for applying
+  std::optional<snapshot> Snapshot;
+  std::vector<voters_from> VoterHistory; ///< ascending; the last is in force
+
+  std::optional<node_id> Leader;
+  instant LeaderHeardAt{};
+  instant ElectionAt{};
+  std::set<node_id> Votes;
+  std::optional<incoming_snapshot> Incoming;
+
+  std::uint64_t TermStart = 0; ///< index of this leader's empty entry
+  instant HeartbeatAt{};
+  std::map<node_id, progress> Members; ///< all but this node; leader only
+
+  std::uint64_t LastSequence = 0;
+  std::uint64_t SyncedSequence = 0;
+  std::uint64_t HardSequence = 0; ///< sequence of the latest hard state
+  std::uint64_t SyncedIndex = 0;
+  std::deque<pending_write> Pending;
+
+  output Out; ///< of the step that is being taken
+  instant Now{};
+
+  [[nodiscard]] const voter_set &voters() const {
+    return VoterHistory.back().Voters;
+  }
+  [[nodiscard]] bool mayVote() const {
+    return voters().isVoter(Options.Self, Options.Disk);
+  }
+};
+
+/// Adds a message to the output. A leader's appends and chunks may leave
+/// before the sync of this step, unless its term is not synced yet.
+void sendMessage(raft_state &State, node_id To, message_body Body);
+
+/// Sets term and vote and has them written.
+void setHardState(raft_state &State, std::uint64_t Term,
+                  std::optional<node_id> VotedFor);
+
+/// Appends an entry and has it written; a voter set takes force at once.
+void appendEntry(raft_state &State, log_entry Entry);
+
+/// Removes uncommitted entries and the voter sets in them.
+void truncateFrom(raft_state &State, std::uint64_t Index);
+
+/// Has the entries up to and including `Index` dropped from the disk.
+void dropWritten(raft_state &State, std::uint64_t Index);
+
+/// Raises the commit index and gives the entries out for applying.
+void commitTo(raft_state &State, std::uint64_t Index);
+
+/// Returns the greatest value that a majority of the current voters reaches.
+/// `ValueOf` gives the value of one member.
+template <class T, class Function>
+[[nodiscard]] T majorityValue(const voter_set &Set, Function &&ValueOf) {
+  std::vector<T> Values;
+  for (const auto &Member : Set.Voters) {
+    Values.push_back(ValueOf(Member));
+  }
+  if (Values.empty()) {
+    return T{};
+  }
+  std::sort(Values.begin(), Values.end(), std::greater<>());
+  return Values[Set.majority() - 1];
+}
+
+} // namespace arbutus::consensus::impl
+
+#endif
--- /dev/null
+++ b/src/consensus/snapshot_transfer.cpp
@@ -0,0 +1,167 @@
+#include "consensus/snapshot_transfer.h"
+
+#include "consensus/election.h"
+#include "consensus/replication.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace arbutus::consensus::impl {
+namespace {
+
+void sendChunk(raft_state &State, node_id Node, snapshot_transfer &Transfer) {
+  Transfer.SentAt = State.Now;
+  const auto &Source = Transfer.Source;
+  sendMessage(State, Node,
+              snapshot_chunk{Source.Meta, Transfer.Offset, Source.Data->size(),
+                             toMicros(State.Now),
+                             Source.Data->substr(Transfer.Offset,
+                                                 State.Options.ChunkBytes)});
+}
+
+bool sameTransfer(const incoming_snapshot &Incoming, const message &Message,
+                  const snapshot_chunk &Chunk) {
+  return Incoming.From == Message.from() && Incoming.Term == Message.Term &&
+         Incoming.Meta == Chunk.Meta && Incoming.TotalBytes == Chunk.TotalBytes;
+}
+
+/// Replaces log and state machine by the snapshot that has arrived.
+void install(raft_state &State, incoming_snapshot Incoming) {
+  const auto &Meta = Incoming.Meta;
+  // Entries that may be acknowledged match the snapshot and were kept by the
+  // caller, so that the rest of the log can go.
+  truncateFrom(State, State.Commit + 1);
+  State.Out.Writes.TruncateFrom.reset();
+  State.Out.Writes.Append.clear();
+  State.Log.reset(Meta.Index, Meta.Term);
+  State.VoterHistory = {{Meta.Index, Meta.Voters}};
+  State.Commit = Meta.Index;
+  State.Pending.back().LastIndex = Meta.Index;
+  State.Snapshot = snapshot{
+      Meta, std::make_shared<const std::string>(std::move(Incoming.Bytes))};
+  State.Out.Committed.clear();
+  State.Out.Restore = State.Snapshot;
+  State.Out.Writes.Snapshot = State.Snapshot;
+  State.Out.Writes.ResetLog = true;
+}
+
+/// Takes the chunk and returns the offset from which bytes are missing.
+std::uint64_t takeChunk(raft_state &State, const message &Message,
+                        const snapshot_chunk &Chunk) {
+  auto &Incoming = State.Incoming;
+  if (!Incoming || !sameTransfer(*Incoming, Message, Chunk)) {
+    Incoming = incoming_snapshot{
+        Message.from(), Message.Term, Chunk.Meta, Chunk.TotalBytes, {}};
+  }
+  if (Chunk.Offset == Incoming->Bytes.size() &&
+      Chunk.Bytes.size() <= Chunk.TotalBytes - Chunk.Offset) {
+    Incoming->Bytes += Chunk.Bytes;
+  }
+  return Incoming->Bytes.size();
+}
+
+} // namespace
+
+void startTransfer(raft_state &State, node_id Node, progress &Member) {
+  if (!State.Snapshot) {
+    return;
+  }
+  Member.Transfer = snapshot_transfer{*State.Snapshot, 0, State.Now};
+  sendChunk(State, Node, *Member.Transfer);
+}
+
+void resendChunk(raft_state &State, node_id Node, progress &Member) {
+  if (Member.Transfer &&
+      State.Now - Member.Transfer->SentAt >= State.Options.Resend) {
+    sendChunk(State, Node, *Member.Transfer);
+  }
+}
+
+void onSnapshotChunk(raft_state &State, const message &Message,
+                     const snapshot_chunk &Chunk) {
+  becomeFollower(State, Message.Term, Message.from());
+  State.LeaderHeardAt = State.Now;
+  resetElectionTimer(State);
+  snapshot_reply Reply;
+  Reply.Index = Chunk.Meta.Index;
+  Reply.EchoSentAt = Chunk.SentAt;
+  Reply.Disk = number(State.Options.Disk);
+  if (Chunk.Meta.Index > State.Commit &&
+      State.Log.term(Chunk.Meta.Index) == Chunk.Meta.Term) {
+    // The log holds all that the snapshot covers, and entries after it may be
+    // acknowledged already, so that the log must stay.
+    commitTo(State, Chunk.Meta.Index);
+  }
+  if (Chunk.Meta.Index > State.Commit) {
+    Reply.NextOffset = takeChunk(State, Message, Chunk);
+    if (Reply.NextOffset == Chunk.TotalBytes) {
+      install(State, *std::exchange(State.Incoming, std::nullopt));
+    }
+  }
+  if (Chunk.Meta.Index <= State.Commit) {
+    State.Incoming.reset();
+    Reply.Installed = true;
+  }
+  sendMessage(State, Message.from(), Reply);
+}
+
+void onSnapshotReply(raft_state &State, const message &Message,
+                     const snapshot_reply &Reply) {
+  auto *Member =
+      heardMember(State, Message, disk_id{Reply.Disk}, Reply.EchoSentAt);
+  if (Member == nullptr) {
+    return;
+  }
+  if (Reply.Installed) {
+    if (Member->Transfer &&
+        Member->Transfer->Source.Meta.Index <= Reply.Index) {
+      Member->Transfer.reset();
+      Member->Next = std::max(Member->Match, Reply.Index) + 1;
+      Member->InFlight = 0;
+    }
+    memberHolds(State, Message.from(), *Member, Reply.Index);
+    return;
+  }
+  auto &Transfer = Member->Transfer;
+  if (Transfer && Transfer->Source.Meta.Index == Reply.Index &&
+      Reply.NextOffset <= Transfer->Source.Data->size() &&
+      Reply.NextOffset != Transfer->Offset) {
+    Transfer->Offset = Reply.NextOffset;
+    sendChunk(State, Message.from(), *Transfer);
+  }
+}
+
+void onSnapshotSaved(raft_state &State, const snapshot_saved &Saved) {
+  auto Meta = metaAt(State, Saved.Index);
+  if (!Meta || !Saved.Data) {
+    return;
+  }
+  State.Snapshot = snapshot{std::move(*Meta), Saved.Data};
+  auto &History = State.VoterHistory;
+  while (History.size() > 1 && History[1].Index <= Saved.Index) {
+    History.erase(History.begin());
+  }
+  if (Saved.Index > State.Log.baseIndex() + State.Options.Trailing) {
+    const auto Through = Saved.Index - State.Options.Trailing;
+    State.Log.dropThrough(Through);
+    dropWritten(State, Through);
+  }
+}
+
+std::optional<snapshot_meta> metaAt(const raft_state &State,
+                                    std::uint64_t Index) {
+  const auto Covered = State.Snapshot ? State.Snapshot->Meta.Index : 0;
+  if (Index <= Covered || Index > State.Commit) {
+    return std::nullopt;
+  }
+  snapshot_meta Meta{Index, State.Log.term(Index).value_or(0), {}};
+  for (const auto &From : State.VoterHistory) {
+    if (From.Index <= Index) {
+      Meta.Voters = From.Voters;
+    }
+  }
+  return Meta;
+}
+
+} // namespace arbutus::consensus::impl
--- /dev/null
+++ b/src/storage/durable_log.cpp
@@ -0,0 +1,256 @@
+#include "storage/durable_log.h"
+
+#include "storage/segment_log.h"
+#include "storage/voter_files.h"
+#include <fcntl.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+namespace arbutus::storage {
+
+using namespace impl;
+
+/// What an open data directory consists of.
+struct durable_log::state {
+  state(const open_options &Options, file_hooks Hooks)
+      : Files(std::move(Hooks)), Directory(Options.Directory),
+        Log(Files, Options.Directory + "/" + LogName, Options.SegmentSize) {}
+
+  file_hooks Files;
+  std::string Directory;
+  open_file Lock;
+  segment_log Log;
+  std::uint64_t SnapshotIndex = 0;
+  bool Stopped = false;
+
+  storage_result<void> takeLock();
+  storage_result<void> makeDirectories();
+  storage_result<void> create(const open_options &Options, opened_log &Opened);
+  storage_result<void> recover(opened_log &Opened);
+  storage_result<bool> logContinues(const consensus::recovered_state &State);
+  storage_result<void> write(const consensus::disk_writes &Writes);
+
+  /// Passes a result on and stops the log if it is a failure.
+  storage_result<void> checked(storage_result<void> Result) {
+    Stopped = Stopped || !Result;
+    return Result;
+  }
+  [[nodiscard]] storage_error stoppedError() const {
+    return {storage_errc::Stopped, Directory, "an earlier write failed", 0};
+  }
+};
+
+storage_result<void> durable_log::state::takeLock() {
+  const auto Path = Directory + "/" + LockName;
+  BOOST_OUTCOME_TRY(File, open_file::open(Files, Path, O_RDWR | O_CREAT));
+  Lock = std::move(File);
+  if (Files.Lock(Lock.descriptor()) == 0) {
+    return outcome::success();
+  }
+  auto Error = errorFromErrno(Path, "lock");
+  if (Error.Errno == EWOULDBLOCK) {
+    Error.Code = storage_errc::Locked;
+  }
+  return Error;
+}
+
+storage_result<void> durable_log::state::makeDirectories() {
+  BOOST_OUTCOME_TRY(makeDirectory(Files, Directory + "/" + LogName));
+  BOOST_OUTCOME_TRY(makeDirectory(Files, Directory + "/" + SnapshotName));
+  return syncDirectory(Files, Directory);
+}
+
+/// Fills a directory without an identity. The identity is written last, so
+/// that an interrupted creation is repeated.
+storage_result<void> durable_log::state::create(const open_options &Options,
+                                                opened_log &Opened) {
+  if (!Options.Bootstrap && Options.FreshDisk == consensus::BootstrapDisk) {
+    return storage_error{storage_errc::InvalidArgument, Directory,
+                         "the identity of an empty disk must not be zero", 0};
+  }
+  BOOST_OUTCOME_TRY(makeDirectories());
+  BOOST_OUTCOME_TRY(Hard, readHardState(Files, Directory));
+  BOOST_OUTCOME_TRY(Snapshot, readSnapshot(Files, Directory));
+  BOOST_OUTCOME_TRY(Entries, Log.open(Opened.TornBytes));
+  const bool Used = Snapshot || Entries.size() > 1 ||
+                    (Hard && (Hard->Term > 1 || Hard->VotedFor));
+  if (Used) {
+    return storage_error{storage_errc::IdentityMissing, Directory,
+                         "log or hard state without an identity file", 0};
+  }
+  BOOST_OUTCOME_TRY(Log.clear());
+  auto Disk = Options.FreshDisk;
+  if (Options.Bootstrap) {
+    Disk = consensus::BootstrapDisk;
+    Opened.Recovered = consensus::bootstrapState(Options.InitialVoters);
+    BOOST_OUTCOME_TRY(Log.append(Opened.Recovered.Entries));
+    BOOST_OUTCOME_TRY(Log.sync());
+  }
+  BOOST_OUTCOME_TRY(writeHardState(Files, Directory, Opened.Recovered.Hard));
+  BOOST_OUTCOME_TRY(
+      writeIdentity(Files, Directory, consensus::member(Options.Node, Disk)));
+  Opened.Disk = Disk;
+  Opened.FreshDisk = !Options.Bootstrap;
+  return outcome::success();
+}
+
+/// Reads a directory that has an identity.
+storage_result<void> durable_log::state::recover(opened_log &Opened) {
+  auto &State = Opened.Recovered;
+  BOOST_OUTCOME_TRY(Hard, readHardState(Files, Directory));
+  if (!Hard) {
+    return storage_error{storage_errc::Corrupt, Directory + "/" + HardStateName,
+                         "missing", 0};
+  }
+  State.Hard = *Hard;
+  BOOST_OUTCOME_TRY(Snapshot, readSnapshot(Files, Directory));
+  State.Snapshot = std::move(Snapshot);
+  BOOST_OUTCOME_TRY(Entries, Log.open(Opened.TornBytes));
+  State.Entries = std::move(Entries);
+  // A rename of a former life may not be durable yet.
+  BOOST_OUTCOME_TRY(syncDirectory(Files, Directory));
+  BOOST_OUTCOME_TRY(syncDirectory(Files, Directory + "/" + SnapshotName));
+  SnapshotIndex = State.Snapshot ? State.Snapshot->Meta.Index : 0;
+  BOOST_OUTCOME_TRY(Continues, logContinues(State));
+  if (!Continues) {
+    State.Entries.clear();
+    BOOST_OUTCOME_TRY(Log.clear());
+  }
+  return outcome::success();
+}
+
+/// False if the snapshot replaces the whole log, which a crash between saving
+/// a received snapshot and clearing the log leaves behind.
+storage_result<bool>
+durable_log::state::logContinues(const consensus::recovered_state &State) {
+  const auto &Entries = State.Entries;
+  const auto Corrupt = [this](std::string Detail) {
+    return storage_error{storage_errc::Corrupt, Directory + "/" + LogName,
+                         std::move(Detail), 0};
+  };
+  if (Entries.empty()) {
+    return Log.endIndex() == SnapshotIndex + 1;
+  }
+  if (Entries.back().Term > State.Hard.Term) {
+    return Corrupt("entry of a later term than the hard state");
+  }
+  const auto First = Entries.front().Index;
+  if (First > SnapshotIndex + 1) {
+    return Corrupt("entries before " + std::to_string(First) + " are missing");
+  }
+  if (First == SnapshotIndex + 1) {
+    return true;
+  }
+  return Entries.back().Index >= SnapshotIndex &&
+         Entries[SnapshotIndex - First].Term == State.Snapshot->Meta.Term;
+}
+
+storage_result<void>
+durable_log::state::write(const consensus::disk_writes &Writes) {
+  if (Writes.Hard) {
+    BOOST_OUTCOME_TRY(writeHardState(Files, Directory, *Writes.Hard));
+  }
+  if (Writes.Snapshot) {
+    BOOST_OUTCOME_TRY(writeSnapshot(Files, Directory, *Writes.Snapshot));
+    SnapshotIndex = Writes.Snapshot->Meta.Index;
+  }
+  if (Writes.ResetLog) {
+    BOOST_OUTCOME_TRY(Log.clear());
+  }
+  if (Writes.TruncateFrom) {
+    BOOST_OUTCOME_TRY(Log.truncateFrom(*Writes.TruncateFrom));
+  }
+  if (!Writes.Append.empty()) {
+    const bool Follows =
+        Log.endIndex() != 0 || Writes.Append.front().Index == SnapshotIndex + 1;
+    if (!Follows) {
+      return storage_error{storage_errc::InvalidArgument, Directory,
+                           "entries do not follow the snapshot", 0};
+    }
+    BOOST_OUTCOME_TRY(Log.append(Writes.Append));
+  }
+  if (Writes.DropThrough) {
+    BOOST_OUTCOME_TRY(
+        Log.dropThrough(std::min(*Writes.DropThrough, SnapshotIndex)));
+  }
+  return outcome::success();
+}
+
+storage_result<opened_log> durable_log::open(const open_options &Options,
+                                             file_hooks Files) {
+  opened_log Opened{
+      durable_log(std::make_unique<state>(Options, std::move(Files))),
+      {},
+      {},
+      false,
+      0};
+  auto &State = *Opened.Log.State;
+  BOOST_OUTCOME_TRY(makeDirectory(State.Files, State.Directory));
+  BOOST_OUTCOME_TRY(State.takeLock());
+  BOOST_OUTCOME_TRY(Identity, readIdentity(State.Files, State.Directory));
+  if (!Identity) {
+    BOOST_OUTCOME_TRY(State.create(Options, Opened));
+    return Opened;
+  }
+  if (Identity->node() != Options.Node) {
+    return storage_error{storage_errc::WrongNode, State.Directory,
+                         "belongs to node " + std::to_string(Identity->Node),
+                         0};
+  }
+  if (Options.Bootstrap) {
+    return storage_error{storage_errc::AlreadyStarted, State.Directory,
+                         "bootstrap of a directory that was started before", 0};
+  }
+  Opened.Disk = Identity->disk();
+  BOOST_OUTCOME_TRY(State.recover(Opened));
+  return Opened;
+}
+
+durable_log::durable_log(std::unique_ptr<state> State) noexcept
+    : State(std::move(State)) {}
+durable_log::durable_log(durable_log &&) noexcept = default;
+durable_log &durable_log::operator=(durable_log &&) noexcept = default;
+durable_log::~durable_log() = default;
+
+storage_result<void> durable_log::write(const consensus::disk_writes &Writes) {
+  if (State->Stopped) {
+    return State->stoppedError();
+  }
+  return State->checked(State->write(Writes));
+}
+
+storage_result<void> durable_log::sync() {
+  if (State->Stopped) {
+    return State->stoppedError();
+  }
+  return State->checked(State->Log.sync());
+}
+
+storage_result<void>
+durable_log::saveSnapshot(const consensus::snapshot &Snapshot) {
+  if (State->Stopped) {
+    return State->stoppedError();
+  }
+  if (Snapshot.Meta.Index <= State->SnapshotIndex) {
+    return outcome::success();
+  }
+  auto Saved = writeSnapshot(State->Files, State->Directory, Snapshot);
+  if (!Saved) {
+    // A snapshot that was not written leaves the log as it was.
+    return Saved.error().Code == storage_errc::SyncFailed
+               ? State->checked(std::move(Saved))
+               : std::move(Saved);
+  }
+  State->SnapshotIndex = Snapshot.Meta.Index;
+  return outcome::success();
+}
+
+std::uint64_t durable_log::logBytes() const noexcept {
+  return State->Log.bytes();
+}
+
+bool durable_log::stopped() const noexcept { return State->Stopped; }
+
+} // namespace arbutus::storage
--- a/src/storage/durable_log.h
+++ b/src/storage/durable_log.h
@@ -60,8 +60,9 @@
   /// Syncs everything written so far: one group commit.
   [[nodiscard]] storage_result<void> sync();
 
-  /// Saves a snapshot of the caller's own state machine atomically. On return
-  /// it is synced and older snapshots are gone.
+  /// Saves a snapshot of the caller's own state machine atomically; one that is
+  /// older than the last is ignored. A full disk leaves the log usable. On
+  /// return it is synced and older snapshots are gone.
   [[nodiscard]] storage_result<void>
   saveSnapshot(const consensus::snapshot &Snapshot);
 
--- /dev/null
+++ b/src/storage/file_hooks.cpp
@@ -0,0 +1,80 @@
+#include "storage/file_hooks.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <string_view>
+
+namespace arbutus::storage {
+namespace {
+
+/// Repeats a call that a signal interrupted.
+template <class Function> auto uninterrupted(Function &&Call) {
+  auto Result = Call();
+  while (Result < 0 && errno == EINTR) {
+    Result = Call();
+  }
+  return Result;
+}
+
+int listDirectory(const std::string &Path, std::vector<std::string> &Names) {
+  DIR *Directory = ::opendir(Path.c_str());
+  if (Directory == nullptr) {
+    return -1;
+  }
+  errno = 0;
+  while (const dirent *Entry = ::readdir(Directory)) {
+    const std::string_view Name = Entry->d_name;
+    if (Name != "." && Name != "..") {
+      Names.emplace_back(Name);
+    }
+  }
+  const int Failure = errno;
+  ::closedir(Directory);
+  errno = Failure;
+  return Failure == 0 ? 0 : -1;
+}
+
+} // namespace
+
+file_hooks posixFiles() {
+  file_hooks Files;
+  Files.Open = [](const std::string &Path, int Flags) {
+    return uninterrupted(
+        [&] { return ::open(Path.c_str(), Flags | O_CLOEXEC, 0600); });
+  };
+  Files.Write = [](int File, const char *Bytes, std::size_t Size) {
+    return uninterrupted([&] { return ::write(File, Bytes, Size); });
+  };
+  Files.Read = [](int File, char *Bytes, std::size_t Size) {
+    return uninterrupted([&] { return ::read(File, Bytes, Size); });
+  };
+  Files.Sync = [](int File) {
+    return uninterrupted([&] { return ::fsync(File); });
+  };
+  Files.Truncate = [](int File, std::size_t Size) {
+    return uninterrupted(
+        [&] { return ::ftruncate(File, static_cast<off_t>(Size)); });
+  };
+  Files.Close = [](int File) { return ::close(File); };
+  Files.Rename = [](const std::string &From, const std::string &To) {
+    return std::rename(From.c_str(), To.c_str());
+  };
+  Files.Remove = [](const std::string &Path) { return ::unlink(Path.c_str()); };
+  Files.MakeDirectory = [](const std::string &Path) {
+    return ::mkdir(Path.c_str(), 0700);
+  };
+  Files.List = listDirectory;
+  // flock, unlike fcntl, also excludes a second opening by the same process.
+  Files.Lock = [](int File) {
+    return uninterrupted([&] { return ::flock(File, LOCK_EX | LOCK_NB); });
+  };
+  return Files;
+}
+
+} // namespace arbutus::storage
--- /dev/null
+++ b/src/storage/segment_log.cpp
@@ -0,0 +1,218 @@
+#include "storage/segment_log.h"
+
+#include "storage/record.h"
+#include <fcntl.h>
+
+#include <charconv>
+#include <numeric>
+
+namespace arbutus::storage::impl {
+namespace {
+
+constexpr std::string_view SegmentSuffix = ".segment";
+
+storage_error corrupt(const std::string &Path, std::string Detail) {
+  return {storage_errc::Corrupt, Path, std::move(Detail), 0};
+}
+
+std::string atOffset(std::string_view What, std::uint64_t Offset) {
+  return std::string(What) + " at offset " + std::to_string(Offset);
+}
+
+} // namespace
+
+storage_result<std::vector<consensus::log_entry>>
+segment_log::open(std::uint64_t &TornBytes) {
+  BOOST_OUTCOME_TRY(Names, listDirectory(*Files, Directory));
+  std::vector<consensus::log_entry> Entries;
+  for (const auto &Name : Names) {
+    BOOST_OUTCOME_TRY(
+        readSegment(Name, Name == Names.back(), Entries, TornBytes));
+  }
+  if (!Segments.empty()) {
+    BOOST_OUTCOME_TRY(openLast());
+    BOOST_OUTCOME_TRY(syncDirectory(*Files, Directory));
+  }
+  return Entries;
+}
+
+std::uint64_t segment_log::bytes() const noexcept {
+  return std::accumulate(
+      Segments.begin(), Segments.end(), std::uint64_t{0},
+      [](std::uint64_t Sum, const segment &S) { return Sum + S.Size; });
+}
+
+storage_result<void>
+segment_log::append(const std::vector<consensus::log_entry> &Entries) {
+  std::string Bytes;
+  const auto Flush = [&]() -> storage_result<void> {
+    BOOST_OUTCOME_TRY(Last.write(Bytes));
+    Bytes.clear();
+    return outcome::success();
+  };
+  for (const auto &Entry : Entries) {
+    if (endIndex() != 0 && Entry.Index != endIndex()) {
+      return storage_error{storage_errc::InvalidArgument, Directory,
+                           "entry " + std::to_string(Entry.Index) +
+                               " does not follow the log",
+                           0};
+    }
+    if (Segments.empty() || Segments.back().Size >= SegmentSize) {
+      if (!Bytes.empty()) {
+        BOOST_OUTCOME_TRY(Flush());
+      }
+      BOOST_OUTCOME_TRY(beginSegment(Entry.Index));
+    }
+    auto &Segment = Segments.back();
+    record Record{Entry, SyncedSize, Checksum, 0};
+    putRecord(Bytes, Record);
+    Checksum = Record.Checksum;
+    Segment.Places.push_back({Segment.Size, Entry.Term, Checksum});
+    Segment.Size += recordSize(Entry);
+  }
+  return Flush();
+}
+
+storage_result<void> segment_log::sync() {
+  if (Last.isOpen() && SyncedSize != Segments.back().Size) {
+    BOOST_OUTCOME_TRY(Last.sync());
+    SyncedSize = Segments.back().Size;
+  }
+  return outcome::success();
+}
+
+storage_result<void> segment_log::truncateFrom(std::uint64_t Index) {
+  while (!Segments.empty() && Segments.back().FirstIndex >= Index) {
+    BOOST_OUTCOME_TRY(removeLast());
+  }
+  if (Segments.empty() || Segments.back().endIndex() <= Index) {
+    return outcome::success();
+  }
+  auto &Segment = Segments.back();
+  const auto Kept = Index - Segment.FirstIndex;
+  Segment.Size = Segment.Places[Kept].Offset;
+  Segment.Places.resize(Kept);
+  Checksum = Segment.Places.back().Checksum;
+  BOOST_OUTCOME_TRY(Last.truncate(Segment.Size));
+  BOOST_OUTCOME_TRY(Last.sync());
+  SyncedSize = Segment.Size;
+  return outcome::success();
+}
+
+storage_result<void> segment_log::dropThrough(std::uint64_t Index) {
+  bool Removed = false;
+  while (Segments.size() > 1 && Segments.front().endIndex() <= Index + 1) {
+    BOOST_OUTCOME_TRY(removeFile(*Files, path(Segments.front().FirstIndex)));
+    Segments.erase(Segments.begin());
+    Removed = true;
+  }
+  return Removed ? syncDirectory(*Files, Directory) : outcome::success();
+}
+
+storage_result<void> segment_log::clear() {
+  while (!Segments.empty()) {
+    BOOST_OUTCOME_TRY(removeLast());
+  }
+  return outcome::success();
+}
+
+std::string segment_log::path(std::uint64_t FirstIndex) const {
+  return Directory + "/" + numberedName(FirstIndex) +
+         std::string(SegmentSuffix);
+}
+
+storage_result<void>
+segment_log::readSegment(const std::string &Name, bool Last,
+                         std::vector<consensus::log_entry> &Entries,
+                         std::uint64_t &TornBytes) {
+  const auto Path = Directory + "/" + Name;
+  const auto FirstIndex = numberOfName(Name, SegmentSuffix);
+  if (!FirstIndex || (endIndex() != 0 && *FirstIndex != endIndex())) {
+    return corrupt(Path, "segment does not follow the one before");
+  }
+  BOOST_OUTCOME_TRY(File, open_file::open(*Files, Path, O_RDWR | O_APPEND));
+  BOOST_OUTCOME_TRY(Content, File.readAll());
+  segment Segment{*FirstIndex, 0, {}};
+  while (Segment.Size < Content.size()) {
+    auto Record = recordAt(Content, Segment.Size);
+    const bool First = Segment.Places.empty() && Segments.empty();
+    const bool Follows = Record && Record->Entry.Index == Segment.endIndex() &&
+                         (First || Record->Previous == Checksum);
+    if (!Follows) {
+      if (!Last || wasSynced(Content, Segment.Size)) {
+        return corrupt(Path, atOffset("damaged record", Segment.Size));
+      }
+      TornBytes += Content.size() - Segment.Size;
+      BOOST_OUTCOME_TRY(File.truncate(Segment.Size));
+      BOOST_OUTCOME_TRY(File.sync());
+      break;
+    }
+    Checksum = Record->Checksum;
+    Segment.Places.push_back({Segment.Size, Record->Entry.Term, Checksum});
+    Segment.Size += recordSize(Record->Entry);
+    Entries.push_back(std::move(Record->Entry));
+  }
+  if (!Last && Segment.Places.empty()) {
+    return corrupt(Path, "empty segment before the last");
+  }
+  Segments.push_back(std::move(Segment));
+  return outcome::success();
+}
+
+storage_result<void> segment_log::beginSegment(std::uint64_t FirstIndex) {
+  BOOST_OUTCOME_TRY(sync());
+  BOOST_OUTCOME_TRY(File,
+                    open_file::open(*Files, path(FirstIndex),
+                                    O_WRONLY | O_CREAT | O_TRUNC | O_APPEND));
+  Last = std::move(File);
+  BOOST_OUTCOME_TRY(syncDirectory(*Files, Directory));
+  Segments.push_back({FirstIndex, 0, {}});
+  SyncedSize = 0;
+  return outcome::success();
+}
+
+storage_result<void> segment_log::openLast() {
+  BOOST_OUTCOME_TRY(File,
+                    open_file::open(*Files, path(Segments.back().FirstIndex),
+                                    O_WRONLY | O_APPEND));
+  Last = std::move(File);
+  // What was read may come from the memory of the operating system only.
+  BOOST_OUTCOME_TRY(Last.sync());
+  SyncedSize = Segments.back().Size;
+  return outcome::success();
+}
+
+storage_result<void> segment_log::removeLast() {
+  Last = open_file();
+  BOOST_OUTCOME_TRY(removeFile(*Files, path(Segments.back().FirstIndex)));
+  BOOST_OUTCOME_TRY(syncDirectory(*Files, Directory));
+  Segments.pop_back();
+  Checksum = Segments.empty() || Segments.back().Places.empty()
+                 ? 0
+                 : Segments.back().Places.back().Checksum;
+  return Segments.empty() ? outcome::success() : openLast();
+}
+
+std::string numberedName(std::uint64_t Number) {
+  constexpr std::size_t Digits = 20; // of the largest 64-bit number
+  auto Name = std::to_string(Number);
+  return Name.insert(0, Digits - Name.size(), '0');
+}
+
+std::optional<std::uint64_t> numberOfName(std::string_view Name,
+                                          std::string_view Suffix) {
+  if (Name.size() <= Suffix.size() ||
+      Name.substr(Name.size() - Suffix.size()) != Suffix) {
+    return std::nullopt;
+  }
+  Name.remove_suffix(Suffix.size());
+  std::uint64_t Number = 0;
+  const auto [End, Failure] =
+      std::from_chars(Name.data(), Name.data() + Name.size(), Number);
+  if (Failure != std::errc() || End != Name.data() + Name.size()) {
+    return std::nullopt;
+  }
+  return Number;
+}
+
+} // namespace arbutus::storage::impl
--- /dev/null
+++ b/src/storage/segment_log.h
@@ -0,0 +1,99 @@
+#ifndef ARBUTUS_STORAGE_SEGMENT_LOG_H
+#define ARBUTUS_STORAGE_SEGMENT_LOG_H
+
+#include "consensus/log_entry.h"
+#include "storage/file_io.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace arbutus::storage::impl {
+
+/// Where an entry stands in its segment.
+struct entry_place {
+  std::uint64_t Offset = 0;
+  std::uint64_t Term = 0;
+  std::uint64_t Checksum = 0;
+};
+
+/// One file of the log, named by the index of its first entry.
+struct segment {
+  std::uint64_t FirstIndex = 0;
+  std::uint64_t Size = 0;
+  std::vector<entry_place> Places;
+
+  [[nodiscard]] std::uint64_t endIndex() const noexcept {
+    return FirstIndex + Places.size();
+  }
+};
+
+/// The entries on disk, in segments under one directory. Only the last segment
+/// is written. A segment is synced before the next one is created, so that
+/// only the last one can have a torn tail.
+class segment_log {
+public:
+  segment_log(const file_hooks &Files, std::string Directory,
+              std::size_t SegmentSize)
+      : Files(&Files), Directory(std::move(Directory)),
+        SegmentSize(SegmentSize) {}
+
+  /// Reads all segments. Removes a torn tail and counts its bytes.
+  [[nodiscard]] storage_result<std::vector<consensus::log_entry>>
+  open(std::uint64_t &TornBytes);
+
+  /// Index that the next appended entry must have, or zero for any.
+  [[nodiscard]] std::uint64_t endIndex() const noexcept {
+    return Segments.empty() ? 0 : Segments.back().endIndex();
+  }
+  [[nodiscard]] std::uint64_t bytes() const noexcept;
+
+  /// Appends entries without a sync.
+  [[nodiscard]] storage_result<void>
+  append(const std::vector<consensus::log_entry> &Entries);
+
+  /// Syncs what was appended.
+  [[nodiscard]] storage_result<void> sync();
+
+  /// Removes the entries from `Index` on and syncs that, because a removed
+  /// entry that comes back beside new ones would break the log.
+  [[nodiscard]] storage_result<void> truncateFrom(std::uint64_t Index);
+
+  /// Removes the segments that end at or before `Index`, but not the last.
+  [[nodiscard]] storage_result<void> dropThrough(std::uint64_t Index);
+
+  /// Removes all entries; the next appended entry may have any index.
+  [[nodiscard]] storage_result<void> clear();
+
+private:
+  [[nodiscard]] std::string path(std::uint64_t FirstIndex) const;
+  [[nodiscard]] storage_result<void>
+  readSegment(const std::string &Name, bool Last,
+              std::vector<consensus::log_entry> &Entries,
+              std::uint64_t &TornBytes);
+  [[nodiscard]] storage_result<void> beginSegment(std::uint64_t FirstIndex);
+  [[nodiscard]] storage_result<void> openLast();
+  [[nodiscard]] storage_result<void> removeLast();
+
+  const file_hooks *Files;
+  std::string Directory;
+  std::size_t SegmentSize;
+  std::vector<segment> Segments;
+  open_file Last;
+  std::uint64_t SyncedSize = 0; ///< of the last segment
+  std::uint64_t Checksum = 0;   ///< of the last record
+};
+
+/// Returns a file name that sorts like the number.
+[[nodiscard]] std::string numberedName(std::uint64_t Number);
+
+/// Returns the number of such a name with this suffix, or nothing.
+[[nodiscard]] std::optional<std::uint64_t>
+numberOfName(std::string_view Name, std::string_view Suffix);
+
+} // namespace arbutus::storage::impl
+
+#endif
--- a/src/storage/storage_error.h
+++ b/src/storage/storage_error.h
@@ -18,7 +18,7 @@
   AlreadyStarted,  ///< bootstrap of a data directory that has an identity
   IdentityMissing, ///< a log or hard state without an identity file
   Stopped,         ///< an earlier write or sync failed; reopen the log
-  BadOrder,        ///< the writes do not continue the log
+  InvalidArgument, ///< the writes do not continue the log, or bad options
 };
 
 /// A storage failure: what failed, on which file, with which `errno` (zero
@@ -46,7 +46,7 @@
       {errc::AlreadyStarted, "already_started"},
       {errc::IdentityMissing, "identity_missing"},
       {errc::Stopped, "stopped"},
-      {errc::BadOrder, "bad_order"},
+      {errc::InvalidArgument, "invalid_argument"},
   };
 };
 
