Add the server: wiring of mesh, voter, agent, shards and HTTP front

Cause: the parts have to run as one process with a graceful end. Change: runServer, HTTP front with addresses, metrics, health and the resource API, drain on SIGTERM, abort with typed answers on the limit.

--- /dev/null
+++ b/src/control/server.cpp
@@ -0,0 +1,424 @@
+#include "control/server.h"
+
+#include "base/codec.h"
+#include "base/log.h"
+#include "control/node_agent.h"
+#include "control/voter.h"
+#include "net/http_server.h"
+#include "net/peer_mesh.h"
+#include "router/front.h"
+#include "router/request_flow.h"
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace arbutus::control {
+
+namespace {
+
+using work_guard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+/// Time for an answer of the leader to an operator's call. It covers an
+/// election.
+constexpr duration ApiTimeout = 5s;
+constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
+/// Time for the last answers to reach their callers before the process ends.
+constexpr auto LastAnswers = std::chrono::milliseconds(200);
+
+/// One I/O thread with its listener.
+struct io_thread {
+  explicit io_thread(int Index) : Shard(Index), Work(Shard.Io.get_executor()) {}
+
+  router::shard Shard;
+  work_guard Work;
+  std::unique_ptr<net::http_server> Server;
+  std::thread Thread;
+};
+
+/// All parts of a running process.
+class server {
+public:
+  explicit server(const settings::settings &Settings);
+  ~server();
+  server(const server &) = delete;
+  server &operator=(const server &) = delete;
+
+  [[nodiscard]] bool start();
+  void run() { Io.run(); }
+
+private:
+  [[nodiscard]] bool startMesh();
+  [[nodiscard]] bool startVoter();
+  [[nodiscard]] bool startShards();
+  void send(node_id To, net::message_kind Kind, const std::string &Payload);
+  void receive(node_id From, incarnation Incarnation, net::message_kind Kind,
+               std::string Payload);
+  void onNodes(const std::vector<live_node> &Nodes);
+  void callLeader(router::operator_call Call, router::shard &Shard,
+                  std::function<void(router::operator_answer)> Callback);
+  void fillGauges(router::router_metrics &Metrics);
+  void waitForSignal();
+  void beginDrain();
+  void finishDrain();
+  void checkDrained(instant Until);
+  void endNow();
+
+  const settings::settings &Settings;
+  asio::io_context Io;
+  work_guard Work;
+  asio::signal_set Signals;
+  asio::steady_timer DrainTimer;
+  std::unique_ptr<net::peer_mesh> Mesh;
+  std::unique_ptr<voter> Voter;
+  node_agent Agent;
+  router::router_context Context;
+  router::front_hooks Hooks;
+  std::vector<std::unique_ptr<io_thread>> Threads;
+  bool Draining = false;
+  bool Ending = false;
+};
+
+server::server(const settings::settings &Settings)
+    : Settings(Settings), Io(1), Work(Io.get_executor()),
+      Signals(Io, SIGTERM, SIGINT), DrainTimer(Io),
+      Agent(
+          Io, Settings,
+          [this](node_id To, net::message_kind Kind,
+                 const std::string &Payload) { send(To, Kind, Payload); },
+          [this](const std::vector<live_node> &Nodes) { onNodes(Nodes); },
+          [this](incarnation Next) { Mesh->setIncarnation(Next); }),
+      Context(
+          Settings.Node.Id, Settings.Node.Name,
+          incarnation{static_cast<std::uint64_t>(wallClockMillis())}, Io,
+          [this] { asio::post(Io, [this] { Agent.flushReports(); }); },
+          [this](std::uint64_t Number, const std::string &Command) {
+            Agent.sendCommand(Number, Command);
+          }) {
+  Context.HeaderBytes = Settings.Limits.HeaderBytes;
+  Context.BodyBytes = Settings.Limits.BodyBytes;
+  Hooks.OperatorKeyHashes = Settings.Fleet.OperatorKeyHashes;
+  Hooks.CallLeader = [this](auto Call, auto &Shard, auto Callback) {
+    callLeader(std::move(Call), Shard, std::move(Callback));
+  };
+  Hooks.FillGauges = [this](auto &Metrics) { fillGauges(Metrics); };
+  if (Settings.Testing.AllowFaultInjection) {
+    Hooks.SetCut = [this](const std::set<node_id> &Peers) {
+      return Mesh->setCut(Peers);
+    };
+  }
+}
+
+server::~server() {
+  for (const auto &Thread : Threads) {
+    Thread->Shard.Io.stop();
+    if (Thread->Thread.joinable()) {
+      Thread->Thread.join();
+    }
+  }
+  Mesh.reset();
+  Voter.reset();
+}
+
+bool server::start() {
+  if (!startMesh() || !startVoter()) {
+    return false;
+  }
+  Agent.start(Context);
+  if (!startShards()) {
+    return false;
+  }
+  waitForSignal();
+  logEvent(log_level::Info, "started",
+           {{"http", Settings.Listen.Http.text()},
+            {"mesh", Settings.Listen.Mesh.text()},
+            {"router", Settings.Node.Router},
+            {"control", Settings.Node.Control},
+            {"incarnation", number(Context.Incarnation.load())}});
+  return true;
+}
+
+bool server::startMesh() {
+  net::mesh_options Options;
+  Options.Self = Settings.Node.Id;
+  Options.Incarnation = Context.Incarnation.load();
+  Options.Listen = Settings.Listen.Mesh.text();
+  Options.FleetKey = Settings.Fleet.Key;
+  Options.AllowFaultInjection = Settings.Testing.AllowFaultInjection;
+  for (const auto &Control : Settings.Fleet.Control) {
+    if (Control.Id != Settings.Node.Id) {
+      Options.Peers.push_back({Control.Id, Control.Mesh.text()});
+    }
+  }
+  auto Started = net::peer_mesh::start(
+      std::move(Options), [this](node_id From, incarnation Incarnation,
+                                 net::message_kind Kind, std::string Payload) {
+        receive(From, Incarnation, Kind, std::move(Payload));
+      });
+  if (Started.has_error()) {
+    logEvent(log_level::Error, "mesh_failed",
+             {{"code", nameOf(Started.error().Code)},
+              {"address", Started.error().Address},
+              {"reason", Started.error().Reason}});
+    return false;
+  }
+  Mesh = std::move(Started.value());
+  return true;
+}
+
+bool server::startVoter() {
+  if (!Settings.Node.Control) {
+    return true;
+  }
+  auto Started =
+      voter::start(Settings, [this](node_id To, net::message_kind Kind,
+                                    const std::string &Payload) {
+        send(To, Kind, Payload);
+      });
+  if (Started.has_error()) {
+    logEvent(log_level::Error, "voter_failed",
+             {{"code", nameOf(Started.error().Code)},
+              {"file", Started.error().File},
+              {"detail", Started.error().Detail}});
+    return false;
+  }
+  Voter = std::move(Started.value());
+  return true;
+}
+
+bool server::startShards() {
+  // Beyond the typed limit a body is still read, so that the caller gets an
+  // answer; far beyond it the connection is closed.
+  static constexpr std::size_t HardFactor = 8;
+  net::http_server_options Options;
+  Options.Address = Settings.Listen.Http.Ip;
+  Options.Port = Settings.Listen.Http.Port;
+  Options.HardBodyBytes = HardFactor * Settings.Limits.BodyBytes;
+  Options.HardHeaderBytes = HardFactor * Settings.Limits.HeaderBytes;
+  for (int I = 0; I < Settings.Listen.Threads; ++I) {
+    auto Thread = std::make_unique<io_thread>(I);
+    auto &Shard = Thread->Shard;
+    try {
+      Thread->Server = std::make_unique<net::http_server>(
+          Shard.Io, Options,
+          [this, &Shard](const std::shared_ptr<net::http_exchange> &Exchange) {
+            router::handleExchange(Context, Hooks, Shard, Exchange);
+          });
+    } catch (const std::exception &Error) {
+      logEvent(
+          log_level::Error, "listen_failed",
+          {{"address", Settings.Listen.Http.text()}, {"reason", Error.what()}});
+      return false;
+    }
+    Threads.push_back(std::move(Thread));
+  }
+  for (const auto &Thread : Threads) {
+    Thread->Thread = std::thread([&Io = Thread->Shard.Io] { Io.run(); });
+  }
+  return true;
+}
+
+void server::send(node_id To, net::message_kind Kind,
+                  const std::string &Payload) {
+  if (To == Settings.Node.Id) {
+    receive(To, Context.Incarnation.load(), Kind, Payload);
+  } else {
+    Mesh->send(To, Kind, Payload);
+  }
+}
+
+void server::receive(node_id From, incarnation Incarnation,
+                     net::message_kind Kind, std::string Payload) {
+  switch (Kind) {
+  case net::message_kind::Raft:
+  case net::message_kind::Heartbeat:
+  case net::message_kind::ClaimRequest:
+  case net::message_kind::ApiRequest:
+    if (Voter) {
+      Voter->post({From, Incarnation, Kind, std::move(Payload)});
+    }
+    return;
+  default:
+    asio::post(Io,
+               [this, From, Incarnation, Kind, Payload = std::move(Payload)] {
+                 Agent.onFrame(From, Incarnation, Kind, Payload);
+               });
+  }
+}
+
+void server::onNodes(const std::vector<live_node> &Nodes) {
+  std::vector<net::mesh_peer> Peers;
+  for (const auto &Control : Settings.Fleet.Control) {
+    if (Control.Id != Settings.Node.Id) {
+      Peers.push_back({Control.Id, Control.Mesh.text()});
+    }
+  }
+  for (const auto &Node : Nodes) {
+    const bool Known =
+        Node.Info.Node == Settings.Node.Id ||
+        std::any_of(Peers.begin(), Peers.end(), [&](const auto &Peer) {
+          return Peer.Node == Node.Info.Node;
+        });
+    if (!Known) {
+      Peers.push_back({Node.Info.Node, Node.Info.MeshAddress});
+    }
+  }
+  Mesh->setPeers(Peers);
+}
+
+void server::callLeader(router::operator_call Call, router::shard &Shard,
+                        std::function<void(router::operator_answer)> Callback) {
+  asio::post(Io, [this, Call = std::move(Call), &Shard,
+                  Callback = std::move(Callback)]() mutable {
+    api_request_message Message;
+    Message.Method = std::move(Call.Method);
+    Message.Target = std::move(Call.Target);
+    Message.Body = std::move(Call.Body);
+    Message.RequestId = std::move(Call.RequestId);
+    Agent.leader().call(std::move(Message), ApiTimeout,
+                        [&Shard, Callback = std::move(Callback)](
+                            const std::optional<api_reply_message> &Reply) {
+                          router::operator_answer Answer;
+                          if (Reply) {
+                            Answer.Status = static_cast<int>(Reply->Status);
+                            Answer.Body = Reply->Body;
+                          }
+                          asio::post(Shard.Io,
+                                     [Callback, Answer] { Callback(Answer); });
+                        });
+  });
+}
+
+void server::fillGauges(router::router_metrics &Metrics) {
+  Metrics.setGauge("arbutus_active_requests", "Requests not yet answered",
+                   static_cast<double>(Context.ActiveRequests.load()));
+  Metrics.setGauge("arbutus_waiting_requests", "Requests waiting for a slot",
+                   static_cast<double>(Context.Pools.waiting()));
+  Metrics.setGauge("arbutus_in_flight_requests", "Requests at an upstream",
+                   static_cast<double>(Context.Pools.inFlight()));
+  Metrics.setGauge("arbutus_lease_seconds", "Time left of the session lease",
+                   static_cast<double>(Context.LeaseUntil.load() -
+                                       toMicros(monotonic_clock::now())) /
+                       1e6);
+  const auto Revision = Context.Routing.read(
+      [](const auto &State) { return number(State.View->currentRevision()); });
+  Metrics.setGauge("arbutus_config_revision", "Configuration in force",
+                   static_cast<double>(Revision));
+  const auto Counters = Mesh->counters();
+  double Sent = 0;
+  double Received = 0;
+  for (const auto &Kind : Counters.Kinds) {
+    Sent += static_cast<double>(Kind.BytesSent);
+    Received += static_cast<double>(Kind.BytesReceived);
+  }
+  Metrics.setGauge("arbutus_mesh_bytes_sent", "Bytes sent to peers", Sent);
+  Metrics.setGauge("arbutus_mesh_bytes_received", "Bytes received from peers",
+                   Received);
+  for (const auto &Row : name_table<net::message_kind>::Rows) {
+    Metrics.setGauge("arbutus_mesh_bytes_sent_" + std::string(Row.Name),
+                     "Bytes sent to peers in messages of this kind",
+                     static_cast<double>(Counters.of(Row.Value).BytesSent));
+  }
+  for (const auto &Row : name_table<net::mesh_drop>::Rows) {
+    Metrics.setGauge("arbutus_mesh_dropped_" + std::string(Row.Name),
+                     "Frames dropped for this reason",
+                     static_cast<double>(Counters.of(Row.Value)));
+  }
+  if (Voter) {
+    const auto Status = Voter->status();
+    Metrics.setGauge("arbutus_leader", "1 while this voter leads",
+                     Status.Leader ? 1 : 0);
+    Metrics.setGauge("arbutus_term", "Consensus term",
+                     static_cast<double>(Status.Term));
+    Metrics.setGauge("arbutus_log_applied", "Last applied log entry",
+                     static_cast<double>(Status.Applied));
+    Metrics.setGauge("arbutus_log_bytes", "Size of the log on disk",
+                     static_cast<double>(Status.LogBytes));
+    Metrics.setGauge("arbutus_storage_failed", "1 after a storage failure",
+                     Status.StorageFailed ? 1 : 0);
+  }
+}
+
+void server::waitForSignal() {
+  Signals.async_wait([this](const asio::error_code &Error, int) {
+    if (Error) {
+      return;
+    }
+    if (Draining) {
+      endNow();
+      return;
+    }
+    beginDrain();
+    waitForSignal();
+  });
+}
+
+void server::beginDrain() {
+  Draining = true;
+  Context.Drain = router::drain_phase::Leaving;
+  Agent.announceLeaving();
+  const auto Ttl = Context.Routing.read([](const auto &State) {
+    return State.View->policyValues().AddressTtlMs;
+  });
+  logEvent(log_level::Info, "drain_started", {{"address_ttl_ms", Ttl}});
+  // Callers may keep an address answer for this long and still come here.
+  DrainTimer.expires_after(std::chrono::milliseconds(Ttl));
+  DrainTimer.async_wait([this](const asio::error_code &Error) {
+    if (!Error) {
+      finishDrain();
+    }
+  });
+}
+
+void server::finishDrain() {
+  Context.Drain = router::drain_phase::Finishing;
+  checkDrained(monotonic_clock::now() + Settings.Limits.Drain);
+}
+
+void server::checkDrained(instant Until) {
+  if (Context.ActiveRequests.load() == 0 || monotonic_clock::now() >= Until) {
+    endNow();
+    return;
+  }
+  DrainTimer.expires_after(DrainCheckInterval);
+  DrainTimer.async_wait([this, Until](const asio::error_code &Error) {
+    if (!Error) {
+      checkDrained(Until);
+    }
+  });
+}
+
+void server::endNow() {
+  if (Ending) {
+    return;
+  }
+  Ending = true;
+  Context.Drain = router::drain_phase::Finishing;
+  logEvent(log_level::Info, "ending",
+           {{"active_requests", Context.ActiveRequests.load()}});
+  for (const auto &Thread : Threads) {
+    asio::post(Thread->Shard.Io,
+               [&Shard = Thread->Shard] { router::abortRequests(Shard); });
+  }
+  DrainTimer.expires_after(LastAnswers);
+  DrainTimer.async_wait([this](const asio::error_code &) { Io.stop(); });
+}
+
+} // namespace
+
+int runServer(const settings::settings &Settings) {
+  openLog(Settings.Log.Path.string(), Settings.Log.Level, Settings.Node.Name);
+  server Server(Settings);
+  if (!Server.start()) {
+    flushLog();
+    return 1;
+  }
+  Server.run();
+  logEvent(log_level::Info, "stopped", {});
+  flushLog();
+  return 0;
+}
+
+} // namespace arbutus::control
--- /dev/null
+++ b/src/router/front.h
@@ -0,0 +1,49 @@
+#ifndef ARBUTUS_ROUTER_FRONT_H
+#define ARBUTUS_ROUTER_FRONT_H
+
+#include "net/http_exchange.h"
+#include "router/router_context.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace arbutus::router {
+
+/// An operator's call on its way to the leader.
+struct operator_call {
+  std::string Method;
+  std::string Target;
+  std::string Body;
+  std::string RequestId;
+};
+
+/// Answer to an operator's call; status 0 when none came in time.
+struct operator_answer {
+  int Status = 0;
+  std::string Body;
+};
+
+/// What the HTTP front needs from the rest of the process.
+struct front_hooks {
+  /// Forwards a call; the callback follows on the given shard.
+  std::function<void(operator_call, shard &,
+                     std::function<void(operator_answer)>)>
+      CallLeader;
+  /// Sets gauges before metrics are read.
+  std::function<void(router_metrics &)> FillGauges;
+  /// Drops frames of these peers; empty unless fault injection is allowed.
+  std::function<bool(const std::set<node_id> &)> SetCut;
+  std::vector<std::string> OperatorKeyHashes;
+};
+
+/// Sends a request of a caller or operator to its handler.
+void handleExchange(router_context &Context, const front_hooks &Hooks,
+                    shard &Shard,
+                    const std::shared_ptr<net::http_exchange> &Exchange);
+
+} // namespace arbutus::router
+
+#endif
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -262,6 +262,9 @@
   Request->Context.Pools.complete(Request->Service->Pool, Request->Id, Cost,
                                   poolOutcome(*Request, Outcome, Valid),
                                   Request->Call.FirstToken);
+  if (Request->Phase == request_phase::Finished) {
+    return; // aborted
+  }
   if (Request->CallerGone && Request->Idempotent) {
     Request->Phase = request_phase::Finished;
     logFinished(*Request, "caller_gone", 0);
@@ -522,7 +525,7 @@
   switch (Outcome->Code) {
   case store::outcome_code::Granted:
     Request->ClaimHeld = true;
-    if (Request->CallerGone) {
+    if (Request->CallerGone || Request->Phase == request_phase::Finished) {
       Request->Phase = request_phase::Finished;
       settleClaim(*Request, nullptr);
       return;
@@ -560,9 +563,57 @@
   }
 }
 
+void abortRequest(const request_ptr &Request) {
+  switch (Request->Phase) {
+  case request_phase::Finished:
+    return;
+  case request_phase::Waiting:
+    if (!Request->Context.Pools.cancel(Request->Service->Pool, Request->Id)) {
+      Request->CallerGone = true; // the dispatch on its way gives its slot back
+    }
+    failWaiting(Request, request_error::ShuttingDown);
+    return;
+  case request_phase::Admitted:
+  case request_phase::Claiming:
+    failRequest(Request, request_error::ShuttingDown, run_outcome::NotRun);
+    return;
+  case request_phase::Calling:
+    Request->Shard.Client.cancel(Request->Call.Call);
+    if (Request->Exchange->answered()) {
+      endIncomplete(Request, request_error::ShuttingDown);
+    } else {
+      failRequest(Request, request_error::ShuttingDown, run_outcome::Unknown);
+    }
+    return;
+  }
+}
+
+void track(const request_ptr &Request) {
+  auto &Shard = Request->Shard;
+  Shard.Requests.push_back(Request);
+  if (Shard.Requests.size() < Shard.NextCleanup) {
+    return;
+  }
+  const auto End =
+      std::remove_if(Shard.Requests.begin(), Shard.Requests.end(),
+                     [](const auto &Weak) { return Weak.expired(); });
+  Shard.Requests.erase(End, Shard.Requests.end());
+  Shard.NextCleanup = 2 * Shard.Requests.size() + 64;
+}
+
 } // namespace
 
+void abortRequests(shard &Shard) {
+  const auto Requests = std::exchange(Shard.Requests, {});
+  for (const auto &Weak : Requests) {
+    if (const auto Request = Weak.lock()) {
+      abortRequest(Request);
+    }
+  }
+}
+
 void startRequest(const request_ptr &Request) {
+  track(Request);
   Request->Exchange->onDisconnect(
       [Weak = std::weak_ptr<routed_request>(Request)] {
         if (const auto Strong = Weak.lock()) {
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -10,6 +10,10 @@
 /// has gone.
 void startRequest(const request_ptr &Request);
 
+/// Ends every request of a shard with an answer that says what is known of it.
+/// Call it on the shard's thread when the time for a graceful end is over.
+void abortRequests(shard &Shard);
+
 } // namespace arbutus::router
 
 #endif
--- a/src/router/shard.h
+++ b/src/router/shard.h
@@ -4,8 +4,13 @@
 #include "net/http_client.h"
 #include <asio/io_context.hpp>
 
+#include <memory>
+#include <vector>
+
 namespace arbutus::router {
 
+struct routed_request;
+
 /// One I/O thread's event loop and its upstream connections. A request stays
 /// on the shard that accepted it.
 struct shard {
@@ -14,6 +19,9 @@
   int Index;
   asio::io_context Io;
   net::http_client Client;
+  /// Requests that started here; ended ones are removed now and then.
+  std::vector<std::weak_ptr<routed_request>> Requests;
+  std::size_t NextCleanup = 64;
 };
 
 } // namespace arbutus::router
