--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,10 +6,10 @@
 
 // Replaced by the command line module.
 int main(int Argc, char **Argv) {
-  if (Argc < 3) {
+  if (Argc < 4) {
     return 2;
   }
-  const auto Settings = arbutus::settings::readSettings(Argv[2]);
+  const auto Settings = arbutus::settings::readSettings(Argv[3]);
   if (Settings.has_error()) {
     std::fputs("settings invalid\n", stderr);
     return 3;
--- a/src/router/retry_policy.cpp
+++ b/src/router/retry_policy.cpp
@@ -41,7 +41,7 @@
 
 step_decision decideNextStep(const call_result &Result) noexcept {
   if (isGoodAnswer(Result)) {
-    return {next_step::Answer, {}, {}};
+    return {next_step::Answer};
   }
   const bool MayCallAgain =
       Result.AttemptsLeft && Result.BudgetLeft && Result.DeadlineLeft;
@@ -62,7 +62,7 @@
   // An upstream's own error answer says more than an error of ours.
   if (Result.Outcome == net::call_outcome::Complete && Result.AnswerValid &&
       !(Result.Idempotent && isOverloadStatus(Result.Status))) {
-    return {next_step::Answer, {}, {}};
+    return {next_step::Answer};
   }
   return {next_step::Fail, Error, run_outcome::Unknown};
 }
--- a/src/router/stream_check.cpp
+++ b/src/router/stream_check.cpp
@@ -2,8 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <charconv>
-
 namespace arbutus::router {
 
 namespace {
@@ -71,25 +69,26 @@
     State = stream_state::Done;
     return;
   }
-  const std::string_view Index = fieldOf(Event, "id");
-  if (!Index.empty()) {
-    std::int64_t Value = 0;
-    const auto Parsed =
-        std::from_chars(Index.data(), Index.data() + Index.size(), Value);
-    if (Parsed.ec == std::errc() && Value <= LastIndex) {
-      return;
-    }
-    if (Parsed.ec == std::errc()) {
-      if (Value != LastIndex + 1) {
-        State = stream_state::Malformed; // a chunk is missing
-        return;
-      }
-      LastIndex = Value;
-    }
-  }
   takeChunk(Data, Event, Forward);
 }
 
+bool stream_check::takeIndex(const nlohmann::json &Chunk) {
+  const auto Index = Chunk.find("token_index");
+  if (Index == Chunk.end() || !Index->is_number_integer()) {
+    return true; // engines without numbers cannot be checked for repeats
+  }
+  const auto Value = Index->get<std::int64_t>();
+  if (Value <= LastIndex) {
+    return false;
+  }
+  if (Value != LastIndex + 1) {
+    State = stream_state::Malformed;
+    return false;
+  }
+  LastIndex = Value;
+  return true;
+}
+
 void stream_check::takeChunk(std::string_view Json, std::string_view Event,
                              std::string &Forward) {
   const auto Chunk = nlohmann::json::parse(Json, nullptr, false);
@@ -106,12 +105,16 @@
     State = stream_state::WrongId;
     return;
   }
+  if (!takeIndex(Chunk)) {
+    return;
+  }
   const auto Usage = Chunk.find("usage");
   if (Usage != Chunk.end() && Usage->is_object()) {
     Tokens = Usage->value("completion_tokens", Tokens);
     PromptTokens = Usage->value("prompt_tokens", PromptTokens);
   }
   const auto Choices = Chunk.find("choices");
+  // A chunk without a usage carries one token.
   if (Choices != Chunk.end() && Choices->is_array() && !Choices->empty() &&
       Choices->front().is_object() && Choices->front().contains("delta") &&
       Choices->front()["delta"].contains("content") &&
--- a/src/router/stream_check.h
+++ b/src/router/stream_check.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_ROUTER_STREAM_CHECK_H
 
 #include "base/name_table.h"
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <string>
@@ -43,6 +44,8 @@
 
 private:
   void takeEvent(std::string_view Event, std::string &Forward);
+  /// Checks the chunk's token number; false if the chunk is to be dropped.
+  bool takeIndex(const nlohmann::json &Chunk);
   void takeChunk(std::string_view Json, std::string_view Event,
                  std::string &Forward);
 
--- /dev/null
+++ b/tests/router/test_stream_check.cpp
@@ -0,0 +1,76 @@
+#include "router/stream_check.h"
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace arbutus;
+using namespace arbutus::router;
+
+namespace {
+
+std::string chunk(const std::string &Id, int Index) {
+  return R"(data: {"id":")" + Id +
+         R"(","choices":[{"index":0,"delta":{"content":"w"}}],"token_index":)" +
+         std::to_string(Index) + "}\n\n";
+}
+
+const std::string Done = "data: [DONE]\n\n";
+
+} // namespace
+
+// Guards against chunks of another request, repeated or missing chunks and cut
+// streams that reach a caller as if they were its complete answer.
+TEST_CASE("stream_check passes only the request's own whole stream") {
+  struct row {
+    const char *Name;
+    std::string Input;
+    stream_state State;
+    std::uint64_t Tokens;
+    std::string Forwarded;
+  };
+  const std::string A0 = chunk("own", 0);
+  const std::string A1 = chunk("own", 1);
+  const std::string P0 = chunk("public", 0);
+  const std::string P1 = chunk("public", 1);
+  const row Rows[] = {
+      {"whole stream", A0 + A1 + Done, stream_state::Done, 2, P0 + P1},
+      {"no end mark", A0 + A1, stream_state::Open, 2, P0 + P1},
+      {"cut inside an event", A0 + A1.substr(0, 20), stream_state::Open, 1, P0},
+      {"chunk of another request", A0 + chunk("other", 1) + A1 + Done,
+       stream_state::WrongId, 1, P0},
+      {"repeated chunk", A0 + A0 + A1 + Done, stream_state::Done, 2, P0 + P1},
+      {"missing chunk", A0 + chunk("own", 2) + Done, stream_state::Malformed, 1,
+       P0},
+      {"not JSON", A0 + "data: nonsense\n\n", stream_state::Malformed, 1, P0},
+      {"no id", "data: {\"choices\":[]}\n\n", stream_state::Malformed, 0, ""},
+      {"comment", ": ping\n\n" + A0 + Done, stream_state::Done, 1, P0},
+      {"after the end", A0 + Done + A1, stream_state::Done, 1, P0},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    stream_check Whole("own", "public");
+    CHECK(Whole.feed(Row.Input) == Row.Forwarded);
+    CHECK(nameOf(Whole.state()) == nameOf(Row.State));
+    CHECK(Whole.tokens() == Row.Tokens);
+    stream_check Bytewise("own", "public");
+    std::string Forwarded;
+    for (const char Byte : Row.Input) {
+      Forwarded += Bytewise.feed({&Byte, 1});
+    }
+    CHECK(Forwarded == Row.Forwarded);
+    CHECK(nameOf(Bytewise.state()) == nameOf(Row.State));
+  }
+}
+
+// Guards against tokens lost or repeated when a broken stream is resumed on a
+// new connection.
+TEST_CASE("stream_check continues a resumed stream without a gap") {
+  stream_check Check("own", "own");
+  std::string Forwarded = Check.feed(chunk("own", 0) + chunk("own", 1) +
+                                     chunk("own", 2).substr(0, 9));
+  Check.restart();
+  CHECK(Check.tokens() == 2);
+  Forwarded += Check.feed(chunk("own", 1) + chunk("own", 2) + Done);
+  CHECK(Check.state() == stream_state::Done);
+  CHECK(Forwarded == chunk("own", 0) + chunk("own", 1) + chunk("own", 2));
+}
