--- a/src/store/applied.h
+++ b/src/store/applied.h
@@ -15,6 +15,9 @@
   AlreadyApplied,
   /// The entry cannot be decoded; only the applied index advanced.
   Malformed,
+  /// The entry was written by a newer program. Nothing was done, and the voter
+  /// must not apply later entries, because its state would differ.
+  UnsupportedVersion,
 };
 
 /// Result of one log entry.
@@ -36,6 +39,7 @@
       {store::apply_status::Applied, "applied"},
       {store::apply_status::AlreadyApplied, "already_applied"},
       {store::apply_status::Malformed, "malformed"},
+      {store::apply_status::UnsupportedVersion, "unsupported_version"},
   };
 };
 
--- a/src/store/commands.cpp
+++ b/src/store/commands.cpp
@@ -2,14 +2,6 @@
 
 namespace arbutus::store {
 
-namespace {
-
-/// Versions of the format of a log entry that this program reads; it writes
-/// the last one.
-constexpr char BatchVersion = 1;
-
-} // namespace
-
 std::string encodeBatch(const batch &Batch) {
   return BatchVersion + encode(Batch);
 }
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -11,6 +11,8 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace arbutus::store {
@@ -43,7 +45,11 @@
   /// The caller's idempotency key, 1 to 256 bytes.
   std::string Key;
 
-  auto operator<=>(const claim_key &) const = default;
+  bool operator==(const claim_key &) const = default;
+  bool operator<(const claim_key &Other) const noexcept {
+    return std::tie(Team, Service, Key) <
+           std::tie(Other.Team, Other.Service, Other.Key);
+  }
   MSGPACK_DEFINE(Team, Service, Key)
 };
 
@@ -131,6 +137,9 @@
                      complete_command, withdraw_command, abandon_command,
                      assign_pool_command, expire_command> {};
 
+/// Version of the format of a log entry that this program reads and writes.
+inline constexpr char BatchVersion = 1;
+
 /// The content of one log entry.
 struct batch {
   /// The leader's time in milliseconds. Log time is the largest value seen, so
--- a/src/store/config_source.h
+++ b/src/store/config_source.h
@@ -11,8 +11,8 @@
 namespace arbutus::store {
 
 /// Makes configuration updates for replicas from the leader's state. One
-/// source serves all nodes; it keeps at most one full list, which it shares
-/// with the state.
+/// source serves all nodes; it keeps at most one full list, whose objects it
+/// shares with the state.
 class config_source {
 public:
   /// The next update for a replica at `Since`, whose serialized form has at
@@ -29,9 +29,14 @@
   }
 
 private:
-  config_update listPart(std::size_t Offset, std::size_t MaxBytes) const;
+  [[nodiscard]] config_update listPart(std::size_t Offset,
+                                       std::size_t MaxBytes) const;
+  [[nodiscard]] bool listIsRecent(const state_machine &Store) const;
+  void makeList(const state_machine &Store);
 
   std::vector<resource_ptr> List;
+  /// Serialized size of each object of the list.
+  std::vector<std::size_t> Sizes;
   revision ListRevision{};
 };
 
--- a/src/store/config_view.h
+++ b/src/store/config_view.h
@@ -104,7 +104,7 @@
 private:
   template <class Key> using index = std::unordered_map<Key, std::uint32_t>;
 
-  void addTeams();
+  void addTeams(const config_replica &Replica);
   void addServices(const config_replica &Replica);
   void addMembers(const config_replica &Replica);
 
--- a/src/store/resource.h
+++ b/src/store/resource.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <variant>
 
 namespace arbutus::store {
@@ -33,7 +34,10 @@
   resource_kind Kind = resource_kind::Team;
   std::string Name;
 
-  auto operator<=>(const object_key &) const = default;
+  bool operator==(const object_key &) const = default;
+  bool operator<(const object_key &Other) const noexcept {
+    return std::tie(Kind, Name) < std::tie(Other.Kind, Other.Name);
+  }
   MSGPACK_DEFINE(Kind, Name)
 };
 
--- a/src/store/resource_json.h
+++ b/src/store/resource_json.h
@@ -19,8 +19,8 @@
   std::vector<field_error> Errors;
 };
 
-/// `{"kind","name","id","version","revision","spec"}`; `id` is left out for
-/// kinds without a number.
+/// `{"kind","name","version","revision","spec"}`, and `team_id`, `upstream_id`
+/// or `pool_id` where the kind has a number.
 [[nodiscard]] nlohmann::json toJson(const resource &Object);
 [[nodiscard]] nlohmann::json toJson(const field_error &Error);
 /// The answer to an operator: `outcome`, and those of `object`, `errors` and
@@ -28,8 +28,8 @@
 [[nodiscard]] nlohmann::json toJson(const command_outcome &Outcome);
 
 /// Reads an object in the form that `toJson` writes. `version` is the expected
-/// version (0 if left out); `id` and `revision` are ignored, so that an object
-/// can be read, edited and written back. Checks form and values, but not
+/// version (0 if left out); numbers and `revision` are ignored, so that an
+/// object can be read, edited and written back. Checks form and values, but not
 /// references to other objects, which `state_machine::check` does.
 [[nodiscard]] parsed_put parsePut(const nlohmann::json &Object,
                                   std::string_view RequestId);
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -61,11 +61,11 @@
   /// apart from a version conflict.
   [[nodiscard]] std::vector<field_error> check(const put_command &Put) const;
 
-  /// Changes with a revision above `Since`, oldest first, of the given kinds
-  /// (all kinds if empty).
+  /// At most `Most` changes with a revision above `Since`, oldest first, of the
+  /// given kinds (all kinds if empty).
   [[nodiscard]] result<std::vector<change>, compacted>
-  changesSince(revision Since,
-               const std::vector<resource_kind> &Kinds = {}) const;
+  changesSince(revision Since, const std::vector<resource_kind> &Kinds = {},
+               std::size_t Most = SIZE_MAX) const;
 
   /// The whole state, to be read by `restore` on any voter.
   [[nodiscard]] std::string snapshot() const;
