--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -5,6 +5,13 @@
 namespace arbutus::consensus::impl {
 namespace {
 
+/// Counts the own vote, unless this voter's removal is in its log.
+void voteForSelf(raft_state &State) {
+  if (State.mayVote()) {
+    State.Votes.insert(State.Options.Self);
+  }
+}
+
 void requestVotes(raft_state &State, bool PreVote) {
   for (const auto &Voter : State.voters().Voters) {
     if (Voter.node() == State.Options.Self) {
@@ -21,7 +28,8 @@
 
 void startElection(raft_state &State) {
   State.Role = role::Candidate;
-  State.Votes = {State.Options.Self};
+  State.Votes.clear();
+  voteForSelf(State);
   setHardState(State, State.Hard.Term + 1, State.Options.Self);
   resetElectionTimer(State);
   requestVotes(State, false);
@@ -73,11 +81,12 @@
 void startPreVote(raft_state &State) {
   resetElectionTimer(State);
   State.Leader.reset();
-  if (!State.mayVote()) {
+  if (!State.mayCampaign()) {
     return;
   }
   State.Role = role::PreCandidate;
-  State.Votes = {State.Options.Self};
+  State.Votes.clear();
+  voteForSelf(State);
   requestVotes(State, true);
   countVotes(State);
 }
--- a/src/consensus/raft_state.cpp
+++ b/src/consensus/raft_state.cpp
@@ -18,6 +18,18 @@
 
 } // namespace
 
+bool raft_state::mayCampaign() const {
+  for (auto From = VoterHistory.rbegin(); From != VoterHistory.rend(); ++From) {
+    if (From->Voters.isVoter(Options.Self, Options.Disk)) {
+      return true;
+    }
+    if (From->Index <= Commit) {
+      return false;
+    }
+  }
+  return false;
+}
+
 void sendMessage(raft_state &State, node_id To, message_body Body) {
   const bool FromLeader = std::holds_alternative<append_request>(Body) ||
                           std::holds_alternative<snapshot_chunk>(Body);
--- a/src/consensus/raft_state.h
+++ b/src/consensus/raft_state.h
@@ -93,6 +93,10 @@
   [[nodiscard]] bool mayVote() const {
     return voters().isVoter(Options.Self, Options.Disk);
   }
+  /// True for a voter of the set in force or of one that may still be: until
+  /// its removal is known to be committed, a removed voter may be the only one
+  /// that holds the removal and can be elected.
+  [[nodiscard]] bool mayCampaign() const;
 };
 
 /// Adds a message to the output. A leader's appends and chunks may leave
--- a/tests/consensus/explorer.h
+++ b/tests/consensus/explorer.h
@@ -51,6 +51,7 @@
       injectFaults();
       work();
     }
+    Cluster.traceStatus();
     Cluster.heal();
     const auto Before = Cluster.Acknowledged;
     bool Progress = Cluster.run(30s, [this, Before] {
@@ -60,6 +61,7 @@
       }
       return Cluster.Acknowledged > Before;
     });
+    Cluster.traceStatus();
     if (!Progress && !Wiped) {
       Cluster.Checks.fail("no progress after all faults ended");
     }
