--- a/tools/common/load/load_stats.cpp
+++ b/tools/common/load/load_stats.cpp
@@ -94,6 +94,7 @@
   Resends += Other.Resends;
   Reconnects += Other.Reconnects;
   Unfinished += Other.Unfinished;
+  AskFailures += Other.AskFailures;
   Tokens += Other.Tokens;
   Cost += Other.Cost;
   mergeMaps(Errors, Other.Errors);
@@ -117,6 +118,7 @@
           {"resends", Resends},
           {"reconnects", Reconnects},
           {"unfinished", Unfinished},
+          {"ask_failures", AskFailures},
           {"tokens", Tokens},
           {"cost", Cost},
           {"errors", Errors},
--- a/tools/common/load/load_stats.h
+++ b/tools/common/load/load_stats.h
@@ -38,6 +38,8 @@
   std::int64_t Resends = 0;
   std::int64_t Reconnects = 0;
   std::int64_t Unfinished = 0;
+  /// Questions for addresses without a usable answer.
+  std::int64_t AskFailures = 0;
   std::int64_t Tokens = 0;
   std::int64_t Cost = 0;
   std::map<std::string, std::int64_t> Errors;
--- a/tools/load/load_worker.cpp
+++ b/tools/load/load_worker.cpp
@@ -146,7 +146,7 @@
       return;
     }
     if (Addresses.empty()) {
-      ++Stats[Team].Errors["ask_failed"];
+      ++Stats[Team].AskFailures;
       Loop.callAt(Now + AskRetryDelay,
                   [this, Team, Attempt] { ask(Team, Attempt + 1); });
       return;
@@ -313,9 +313,12 @@
   ++Stats[Request->Team].Reconnects;
   Loop.callAt(monotonic_clock::now() + (NotRun ? RetryDelay : duration(0)),
               [this, Request] {
-                auto &Team = Teams[Request->Team];
-                send(Request, Team.Book.pickOther(Request->Address,
-                                                  Team.Planner.random()));
+                auto &Target = Teams[Request->Team];
+                auto &Random = Target.Planner.random();
+                send(Request,
+                     Target.Book.isOrdered()
+                         ? Target.Book.pick(Random)
+                         : Target.Book.pickOther(Request->Address, Random));
               });
   return true;
 }
