--- a/src/router/pool_dispatcher.cpp
+++ b/src/router/pool_dispatcher.cpp
@@ -118,7 +118,7 @@
     Entry.Account.setUsable(std::move(Usable));
     Entry.Account.setTeams(Weights);
     if (number(Service.Epoch) != 0) {
-      Entry.Account.setEpoch(Service.Epoch, Service.Grantor, Now);
+      Entry.Account.setEpoch(Service.Epoch, Service.Grantor);
     }
     deliver(Entry, Entry.Account.setLease(LeaseUntil, Now));
   }
