--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -113,11 +113,11 @@
   if (Now >= TermStart + PlacementDelay &&
       Now >= LastPlacement + PlacementInterval) {
     LastPlacement = Now;
-    placePools(Store, Commands, Now);
+    placePools(Store, Commands);
   }
   if (!OrphansAbandoned && Now >= TermStart + OrphanAge) {
     OrphansAbandoned = true;
-    abandonOrphans(Store, Commands, Now);
+    abandonOrphans(Store, Commands);
   }
   if (Now >= LastExpire + ExpireInterval) {
     LastExpire = Now;
@@ -164,7 +164,7 @@
 }
 
 void leader_duties::placePools(const store::state_machine &Store,
-                               std::vector<store::command> &Commands, instant) {
+                               std::vector<store::command> &Commands) {
   const auto Nodes = Sessions.liveNodes();
   for (const auto &Object : Store.list(store::resource_kind::Pool)) {
     const auto *Pool = Object->as<store::pool>();
@@ -185,8 +185,20 @@
   }
 }
 
-void leader_duties::abandonOrphans(const store::state_machine &,
-                                   std::vector<store::command> &, instant) {}
+void leader_duties::abandonOrphans(const store::state_machine &Store,
+                                   std::vector<store::command> &Commands) {
+  std::map<node_id, incarnation> Live;
+  for (const auto &Node : Sessions.liveNodes()) {
+    Live[Node.Info.Node] = Node.Incarnation;
+  }
+  for (const auto &[Node, Incarnation] : Store.openOwners()) {
+    const auto It = Live.find(Node);
+    if (It == Live.end() || Incarnation < It->second) {
+      Commands.push_back(
+          store::makeCommand(store::abandon_command{Node, Incarnation}));
+    }
+  }
+}
 
 void leader_duties::sendNodes(node_id To, const store::state_machine &Store) {
   heartbeat_reply_message Reply;
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -52,9 +52,9 @@
   void begin(std::uint64_t NewTerm, instant Now);
   void takeEvents(std::vector<store::command> &Commands, instant Now);
   void placePools(const store::state_machine &Store,
-                  std::vector<store::command> &Commands, instant Now);
+                  std::vector<store::command> &Commands);
   void abandonOrphans(const store::state_machine &Store,
-                      std::vector<store::command> &Commands, instant Now);
+                      std::vector<store::command> &Commands);
   void sendNodes(node_id To, const store::state_machine &Store);
 
   node_id Self;
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -33,7 +33,7 @@
 node_agent::node_agent(asio::io_context &Io, const settings::settings &Settings,
                        send_function GivenSend, nodes_function OnNodes,
                        incarnation_function OnIncarnation)
-    : Io(Io), Settings(Settings), Send(std::move(GivenSend)),
+    : Settings(Settings), Send(std::move(GivenSend)),
       OnNodes(std::move(OnNodes)), OnIncarnation(std::move(OnIncarnation)),
       HeartbeatTimer(Io), ReportTimer(Io), ExpiryTimer(Io),
       Leader(Io,
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -66,7 +66,6 @@
   void renewIncarnation(incarnation Closed);
   void sendToLeader(net::message_kind Kind, const std::string &Payload);
 
-  asio::io_context &Io;
   const settings::settings &Settings;
   send_function Send;
   nodes_function OnNodes;
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 struct voter::state {
-  state(const settings::settings &Settings, send_function Send,
+  state(const settings::settings &Settings, const send_function &Send,
         storage::opened_log Opened);
 
   void run();
@@ -103,8 +103,8 @@
 
 } // namespace
 
-voter::state::state(const settings::settings &Settings, send_function Send,
-                    storage::opened_log Opened)
+voter::state::state(const settings::settings &Settings,
+                    const send_function &Send, storage::opened_log Opened)
     : Self(Settings.Node.Id), Send(Send), Log(std::move(Opened.Log)),
       Raft(raftOptions(Settings, Opened.Disk), Opened.Recovered,
            std::mt19937_64(std::random_device{}()), monotonic_clock::now()),
@@ -433,13 +433,13 @@
 }
 
 storage::storage_result<std::unique_ptr<voter>>
-voter::start(const settings::settings &Settings, send_function Send) {
+voter::start(const settings::settings &Settings, const send_function &Send) {
   auto Opened = storage::durable_log::open(openOptions(Settings));
   if (Opened.has_error()) {
     return Opened.error();
   }
-  auto State = std::make_unique<state>(Settings, std::move(Send),
-                                       std::move(Opened.value()));
+  auto State =
+      std::make_unique<state>(Settings, Send, std::move(Opened.value()));
   return std::unique_ptr<voter>(new voter(std::move(State)));
 }
 
--- a/src/control/voter.h
+++ b/src/control/voter.h
@@ -47,7 +47,7 @@
 
   /// Opens the data directory and starts the thread.
   [[nodiscard]] static storage::storage_result<std::unique_ptr<voter>>
-  start(const settings::settings &Settings, send_function Send);
+  start(const settings::settings &Settings, const send_function &Send);
 
   voter(const voter &) = delete;
   voter &operator=(const voter &) = delete;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 #include "control/server.h"
 #include "control/voter.h"
 #include "settings/settings.h"
+
 #include <cstdio>
 #include <cstring>
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -299,7 +299,9 @@
   const http_call &Call = Transfer.Call;
   for (const auto &[Name, Value] : Call.Headers) {
     // "Name;" sends a header with an empty value.
-    const std::string Line = Value.empty() ? Name + ";" : Name + ": " + Value;
+    std::string Line = Name;
+    Line += Value.empty() ? ";" : ": ";
+    Line += Value;
     Transfer.HeaderList = curl_slist_append(Transfer.HeaderList, Line.c_str());
   }
   Transfer.HeaderList = curl_slist_append(Transfer.HeaderList, "Expect:");
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -25,7 +25,7 @@
 /// What all links of one mesh share.
 struct link_context {
   node_id Self{};
-  incarnation Incarnation{};
+  std::atomic<incarnation> Incarnation{};
   std::string FleetKey;
   std::size_t QueueFrames = 0;
   std::size_t QueueBytes = 0;
--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -271,6 +271,10 @@
   }
 }
 
+void peer_mesh::setIncarnation(incarnation Incarnation) noexcept {
+  State->Context.Incarnation = Incarnation;
+}
+
 void peer_mesh::setPeers(const std::vector<mesh_peer> &Peers) {
   State->setPeers(Peers);
 }
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -86,6 +86,10 @@
   send_outcome send(node_id To, message_kind Kind,
                     std::string_view Payload) noexcept;
 
+  /// Sends later frames under a larger incarnation, after the session of the
+  /// present one has ended.
+  void setIncarnation(incarnation Incarnation) noexcept;
+
   /// Replaces the set of peers; this node itself is left out. Dialers of peers
   /// that stay under the same address keep their connection and queue. Frames
   /// of senders outside this set are still received, because a joining node is
--- a/src/router/claim_client.cpp
+++ b/src/router/claim_client.cpp
@@ -33,7 +33,7 @@
   add(std::move(Command));
 }
 
-void claim_client::finish(store::command Command) {
+void claim_client::finish(const store::command &Command) {
   open_command Open;
   Open.Encoded = encode(Command);
   Open.Deadline = monotonic_clock::now() + FinishFor;
@@ -84,8 +84,8 @@
       Send(It->first, It->second.Encoded);
       ++It;
     }
-    for (auto &Command : Expired) {
-      giveUp(std::move(Command));
+    for (const auto &Command : Expired) {
+      giveUp(Command);
     }
     if (!Open.empty() && !TimerArmed) {
       resend();
@@ -93,7 +93,7 @@
   });
 }
 
-void claim_client::giveUp(open_command Command) {
+void claim_client::giveUp(const open_command &Command) {
   if (!Command.Callback) {
     return;
   }
@@ -102,9 +102,8 @@
     finish(store::makeCommand(
         store::withdraw_command{Command.Claim->Key, Command.Claim->Owner}));
   }
-  asio::post(Command.Shard->Io, [Callback = std::move(Command.Callback)] {
-    Callback(std::nullopt);
-  });
+  asio::post(Command.Shard->Io,
+             [Callback = Command.Callback] { Callback(std::nullopt); });
 }
 
 } // namespace arbutus::router
--- a/src/router/claim_client.h
+++ b/src/router/claim_client.h
@@ -38,7 +38,7 @@
              claim_callback Callback);
 
   /// Records an answer or a withdrawal; repeated until it is acknowledged.
-  void finish(store::command Command);
+  void finish(const store::command &Command);
 
   /// Takes the leader's answer. Control thread.
   void onReply(std::uint64_t Number, const store::command_outcome &Outcome);
@@ -57,7 +57,7 @@
 
   void add(open_command Command);
   void resend();
-  void giveUp(open_command Command);
+  void giveUp(const open_command &Command);
 
   asio::io_context &ControlIo;
   asio::steady_timer Timer;
--- a/src/store/claim_table.cpp
+++ b/src/store/claim_table.cpp
@@ -172,6 +172,16 @@
   return Count;
 }
 
+std::set<std::pair<node_id, incarnation>> claim_table::openOwners() const {
+  std::set<std::pair<node_id, incarnation>> Owners;
+  for (const auto &[Node, Entries] : OpenOfNode) {
+    for (const entry *Entry : Entries) {
+      Owners.emplace(Node, Entry->second.Owner.Incarnation);
+    }
+  }
+  return Owners;
+}
+
 bool claim_table::rebuild() {
   for (auto &Entry : Claims) {
     const auto &Record = Entry.second;
--- a/src/store/claim_table.h
+++ b/src/store/claim_table.h
@@ -53,6 +53,8 @@
   std::uint64_t expire(std::int64_t NowMs);
 
   [[nodiscard]] std::size_t size() const noexcept { return Claims.size(); }
+  /// Owners of open claims, each once.
+  [[nodiscard]] std::set<std::pair<node_id, incarnation>> openOwners() const;
   /// Builds the indexes after unpacking. Returns false if the records
   /// contradict themselves.
   [[nodiscard]] bool rebuild();
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -378,4 +378,8 @@
   return State->Claims.size();
 }
 
+std::set<std::pair<node_id, incarnation>> state_machine::openOwners() const {
+  return State->Claims.openOwners();
+}
+
 } // namespace arbutus::store
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -75,6 +76,8 @@
   /// Number of remembered request ids and of claim records.
   [[nodiscard]] std::size_t requestIds() const noexcept;
   [[nodiscard]] std::size_t claims() const noexcept;
+  /// Owners of open claims. An owner without a session has lost its claims.
+  [[nodiscard]] std::set<std::pair<node_id, incarnation>> openOwners() const;
 
 private:
   struct state;
