Take the engine's faults from a flag as well

Cause: a fault that must hold from the first request could only be set after the engine had started to serve.

--- a/tools/engine/engine_api.cpp
+++ b/tools/engine/engine_api.cpp
@@ -81,6 +81,17 @@
   Loads.record(Now, Core.load(Now));
 }
 
+bool engine_api::setFault(const std::string &Item) {
+  const auto Split = Item.find('=');
+  if (Split == std::string::npos) {
+    return false;
+  }
+  char *End = nullptr;
+  const auto Value = std::strtoll(Item.c_str() + Split + 1, &End, 10);
+  return *End == '\0' && End != Item.c_str() + Split + 1 &&
+         Core.setFault(std::string_view(Item).substr(0, Split), Value);
+}
+
 void engine_api::handle(const http_request &Request,
                         const std::shared_ptr<http_exchange> &Exchange) {
   try {
--- a/tools/engine/engine_api.h
+++ b/tools/engine/engine_api.h
@@ -26,6 +26,9 @@
   engine_api(http_server &Server, const engine_options &Options,
              engine_api_options Api);
 
+  /// Sets a fault from `KIND=VALUE`; false if the item is malformed.
+  [[nodiscard]] bool setFault(const std::string &Item);
+
   void handle(const http_request &Request,
               const std::shared_ptr<http_exchange> &Exchange);
 
--- a/tools/engine/main.cpp
+++ b/tools/engine/main.cpp
@@ -1,6 +1,8 @@
 #include "common/flags.h"
 #include "engine_api.h"
 
+#include <cstdio>
+
 namespace {
 
 using namespace arbutus::tools;
@@ -30,6 +32,7 @@
   --load-lag-ms=MS         Lag of load reports. [default: 0]
   --resume-seconds=S       Time a broken stream can resume. [default: 10]
   --load-model-ms=MS       Time to load a model. [default: 1000]
+  --faults=LIST            First faults, KIND=VALUE, by comma.
   --fencing=MODE           check or ignore. [default: check]
 )";
 
@@ -66,6 +69,12 @@
   engine_api Api(Server, Options,
                  {Flags.millis("--load-lag-ms"), Flags.millis("--cache-lag-ms"),
                   Flags.percent("--cache-gap-percent")});
+  for (const auto &Item : Flags.list("--faults")) {
+    if (!Api.setFault(Item)) {
+      std::fprintf(stderr, "--faults: '%s' is not KIND=VALUE\n", Item.c_str());
+      return 2;
+    }
+  }
   return Server.run([&Api](const auto &Request, const auto &Exchange) {
     Api.handle(Request, Exchange);
   });
