--- /dev/null
+++ b/bench/store.cpp
@@ -0,0 +1,193 @@
+// Measures the store: apply rate, snapshots, configuration updates and views
+// by number of teams and of changes. The last line is one JSON object.
+
+#include "store/store.h"
+
+#include "base/clock.h"
+#include "base/digest.h"
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::store;
+
+namespace {
+
+constexpr int Services = 12;
+constexpr int Domains = 40;
+constexpr double ChangesPerDay = 18'000;
+constexpr double SecondsPerDay = 86'400;
+constexpr std::size_t MaxUpdateBytes = 60'000;
+constexpr std::uint32_t Seed = 7;
+
+/// Runs `Work` and returns its time in microseconds.
+template <class Function> double timeOf(Function Work) {
+  const auto Start = monotonic_clock::now();
+  Work();
+  return static_cast<double>(toMicros(monotonic_clock::now() - Start));
+}
+
+/// The least time of several runs, which other load on the machine disturbs
+/// least.
+template <class Function> double leastTimeOf(int Runs, Function Work) {
+  double Least = timeOf(Work);
+  for (int Run = 1; Run < Runs; ++Run) {
+    Least = std::min(Least, timeOf(Work));
+  }
+  return Least;
+}
+
+struct fleet {
+  state_machine Store;
+  std::uint64_t Index = 0;
+
+  void put(const std::string &Name, std::uint64_t Version, resource_spec Spec) {
+    const auto Applied =
+        Store.apply(Index + 1, entry(std::to_string(Index), Name, Version,
+                                     std::move(Spec)));
+    ++Index;
+    if (Applied.Outcomes.at(0).Code != outcome_code::Ok) {
+      fmt::print(stderr, "{}\n", describe(Applied.Outcomes[0]));
+      std::exit(1);
+    }
+  }
+  static std::string entry(std::string Id, const std::string &Name,
+                           std::uint64_t Version, resource_spec Spec) {
+    return encodeBatch({1,
+                        {makeCommand(put_command{std::move(Id), Name, Version,
+                                                 std::move(Spec)})}});
+  }
+};
+
+team teamNumber(int Number) {
+  team Spec;
+  Spec.ApiKeyHashes = {sha256Hex("key-" + std::to_string(Number))};
+  Spec.Services = {"service-0", "service-" + std::to_string(1 + Number % 11)};
+  return Spec;
+}
+
+/// A fleet with five upstreams for every four teams, as at the planned size.
+void fill(fleet &Fleet, int Teams) {
+  for (int I = 0; I < Domains; ++I) {
+    Fleet.put("domain-" + std::to_string(I), 0, {failure_domain{"region", {}}});
+  }
+  for (int I = 0; I < Services; ++I) {
+    service Spec;
+    Spec.Kind = service_kind::Model;
+    Spec.Model = "model-" + std::to_string(I);
+    Fleet.put("service-" + std::to_string(I), 0, {Spec});
+  }
+  for (int I = 0; I < Teams; ++I) {
+    Fleet.put("team-" + std::to_string(I), 0, {teamNumber(I)});
+  }
+  for (int I = 0; I < Teams * 5 / 4; ++I) {
+    upstream Spec;
+    Spec.Address = fmt::format("10.0.{}.{}:8000", I / 256, I % 256);
+    Spec.FailureDomain = "domain-" + std::to_string(I % Domains);
+    Spec.Services = {"service-" + std::to_string(I % Services)};
+    Spec.MaxConcurrent = 8;
+    Fleet.put("upstream-" + std::to_string(I), 0, {Spec});
+  }
+}
+
+/// Log entries that change the weight of one team each.
+std::vector<std::string> makeChanges(const fleet &Fleet, int Teams,
+                                     int Changes) {
+  std::mt19937 Random(Seed);
+  std::vector<std::uint64_t> Versions(static_cast<std::size_t>(Teams), 1);
+  std::vector<std::string> Entries;
+  Entries.reserve(static_cast<std::size_t>(Changes));
+  for (int I = 0; I < Changes; ++I) {
+    const auto Number = Random() % static_cast<unsigned>(Teams);
+    team Spec = teamNumber(static_cast<int>(Number));
+    Spec.Weight = 1 + static_cast<std::uint32_t>(I % 9);
+    Entries.push_back(fleet::entry(fmt::format("change-{}-{}", Fleet.Index, I),
+                                   "team-" + std::to_string(Number),
+                                   Versions[Number]++, {Spec}));
+  }
+  return Entries;
+}
+
+/// Brings a replica up to date and returns the bytes that were sent.
+std::size_t catchUp(config_source &Source, const state_machine &Store,
+                    config_replica &Replica) {
+  std::size_t Bytes = 0;
+  while (Replica.currentRevision() != Store.currentRevision()) {
+    const auto Update =
+        Source.makeUpdate(Store, Replica.position(), MaxUpdateBytes);
+    Bytes += encode(Update).size();
+    if (Replica.apply(Update).has_error()) {
+      std::exit(1);
+    }
+  }
+  return Bytes;
+}
+
+nlohmann::json measure(int Teams, int Changes) {
+  fleet Fleet;
+  fill(Fleet, Teams);
+  config_source Source;
+  config_replica Replica;
+  const auto ListBytes = catchUp(Source, Fleet.Store, Replica);
+  const auto Entries = makeChanges(Fleet, Teams, Changes);
+  const double DecodeUs = timeOf([&Entries] {
+    for (const auto &Entry : Entries) {
+      if (decodeBatch(Entry).has_error()) {
+        std::exit(1);
+      }
+    }
+  });
+  const double ApplyUs = timeOf([&] {
+    for (const auto &Entry : Entries) {
+      Fleet.Store.apply(++Fleet.Index, Entry);
+    }
+  });
+  const auto UpdateBytes = catchUp(Source, Fleet.Store, Replica);
+  std::string Snapshot;
+  const double SnapshotUs =
+      leastTimeOf(3, [&] { Snapshot = Fleet.Store.snapshot(); });
+  state_machine Restored;
+  const double RestoreUs = leastTimeOf(3, [&] {
+    if (Restored.restore(Snapshot).has_error()) {
+      std::exit(1);
+    }
+  });
+  const double ViewUs =
+      leastTimeOf(9, [&] { const config_view View(Replica); });
+  return {
+      {"teams", Teams},
+      {"upstreams", Teams * 5 / 4},
+      {"changes", Changes},
+      {"apply_per_s", std::round(Changes / ApplyUs * 1e6)},
+      {"apply_to_decode", ApplyUs / DecodeUs},
+      {"snapshot_bytes", Snapshot.size()},
+      {"snapshot_ms", SnapshotUs / 1e3},
+      {"restore_ms", RestoreUs / 1e3},
+      {"restore_to_snapshot", RestoreUs / SnapshotUs},
+      {"full_list_bytes", ListBytes},
+      {"update_bytes_per_change", static_cast<double>(UpdateBytes) / Changes},
+      {"view_ms", ViewUs / 1e3},
+      {"view_core_percent", ViewUs / 1e6 * ChangesPerDay / SecondsPerDay * 100},
+  };
+}
+
+} // namespace
+
+int main() {
+  nlohmann::json Rows = nlohmann::json::array();
+  for (const int Teams : {16, 160, 1'600, 9'600}) {
+    for (const int Changes : {1'000, 10'000}) {
+      Rows.push_back(measure(Teams, Changes));
+      fmt::print("{}\n", Rows.back().dump());
+    }
+  }
+  const nlohmann::json Summary = {{"bench", "store"}, {"rows", Rows}};
+  fmt::print("{}\n", Summary.dump());
+}
--- a/src/store/resource_json.cpp
+++ b/src/store/resource_json.cpp
@@ -1,6 +1,7 @@
 #include "store/resource_json.h"
 
 #include "store/nearest_name.h"
+#include "store/state_machine.h"
 #include "store/validation.h"
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -268,6 +269,20 @@
          (Form.Path == "spec.kind" && Value.Path == "spec.model");
 }
 
+/// Adds the faults that are new and do not only follow from earlier ones.
+std::vector<field_error> merge(const std::vector<field_error> &Earlier,
+                               std::vector<field_error> Later) {
+  std::vector<field_error> All = Earlier;
+  for (auto &Error : Later) {
+    if (std::none_of(Earlier.begin(), Earlier.end(), [&](const auto &Known) {
+          return followsFrom(Known, Error);
+        })) {
+      All.push_back(std::move(Error));
+    }
+  }
+  return All;
+}
+
 } // namespace
 
 json toJson(const resource &Object) {
@@ -352,14 +367,7 @@
     readSpecOfKind(Kind, *Spec, Parsed.Put.Spec, Errors);
   }
   if (KindKnown && Spec != Object.end() && Spec->is_object()) {
-    const auto Form = Errors;
-    for (auto &Error : checkValues(Parsed.Put.Name, Parsed.Put.Spec)) {
-      if (std::none_of(Form.begin(), Form.end(), [&](const auto &Earlier) {
-            return followsFrom(Earlier, Error);
-          })) {
-        Errors.push_back(std::move(Error));
-      }
-    }
+    Errors = merge(Errors, checkValues(Parsed.Put.Name, Parsed.Put.Spec));
   }
   return Parsed;
 }
@@ -377,4 +385,14 @@
   return parsePut(Object, RequestId);
 }
 
+std::vector<field_error> allErrors(const parsed_put &Parsed,
+                                   const state_machine &Store) {
+  const bool KindKnown = std::none_of(
+      Parsed.Errors.begin(), Parsed.Errors.end(), [](const auto &Error) {
+        return Error.Path.empty() || Error.Path == "kind";
+      });
+  return KindKnown ? merge(Parsed.Errors, Store.check(Parsed.Put))
+                   : Parsed.Errors;
+}
+
 } // namespace arbutus::store
--- a/src/store/resource_json.h
+++ b/src/store/resource_json.h
@@ -3,6 +3,7 @@
 
 #include "store/commands.h"
 #include "store/field_error.h"
+#include "store/forward.h"
 #include "store/outcome.h"
 #include "store/resource.h"
 #include <nlohmann/json_fwd.hpp>
@@ -30,13 +31,19 @@
 /// Reads an object in the form that `toJson` writes. `version` is the expected
 /// version (0 if left out); numbers and `revision` are ignored, so that an
 /// object can be read, edited and written back. Checks form and values, but not
-/// references to other objects, which `state_machine::check` does.
+/// references to other objects, which `allErrors` does.
 [[nodiscard]] parsed_put parsePut(const nlohmann::json &Object,
                                   std::string_view RequestId);
 /// The same for JSON text.
 [[nodiscard]] parsed_put parsePutText(std::string_view Text,
                                       std::string_view RequestId);
 
+/// Every fault of a write that was read: those of `Parsed`, and those that
+/// `Store` finds at its current state. Faults that only follow from another
+/// one are left out.
+[[nodiscard]] std::vector<field_error> allErrors(const parsed_put &Parsed,
+                                                 const state_machine &Store);
+
 } // namespace arbutus::store
 
 #endif
--- a/src/store/resource_table.cpp
+++ b/src/store/resource_table.cpp
@@ -209,10 +209,14 @@
   }
   const auto &Rows = Parts[4].via.array;
   for (std::uint32_t I = 0; I < Rows.size; ++I) {
-    msgpack::type::tuple<revision, object_key, bool, resource_ptr> Row;
-    Rows.ptr[I].convert(Row);
-    change Change{Row.get<0>(), Row.get<1>(), Row.get<3>()};
-    if (Row.get<2>()) {
+    const auto &Row = Rows.ptr[I];
+    if (Row.type != msgpack::type::ARRAY || Row.via.array.size != 4) {
+      throw msgpack::type_error();
+    }
+    const auto *Fields = Row.via.array.ptr;
+    change Change{Fields[0].as<revision>(), Fields[1].as<object_key>(),
+                  Fields[3].as<resource_ptr>()};
+    if (Fields[2].as<bool>()) {
       if (slot(Change.Key.Kind) >= Objects.size()) {
         throw msgpack::type_error();
       }
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -26,6 +26,10 @@
 /// Referrers that an answer lists. `Count` has the number of all.
 constexpr std::size_t MaxReferrers = 100;
 
+/// Faults that an answer lists. Like referrers they are bounded, because the
+/// answer is remembered for a day.
+constexpr std::size_t MaxErrors = 100;
+
 /// Packs into a string without a second buffer.
 struct string_stream {
   std::string &Out;
@@ -48,6 +52,7 @@
 }
 
 command_outcome invalid(std::vector<field_error> Errors) {
+  Errors.resize(std::min(Errors.size(), MaxErrors));
   auto Outcome = outcomeOf(outcome_code::Invalid);
   Outcome.Errors = std::move(Errors);
   return Outcome;
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -57,8 +57,8 @@
   [[nodiscard]] std::vector<resource_ptr>
   poolMembers(std::string_view Service) const;
 
-  /// Every fault that `apply` would find in this write at the current state,
-  /// apart from a version conflict.
+  /// Every fault of values and references that `apply` would find in this
+  /// write at the current state.
   [[nodiscard]] std::vector<field_error> check(const put_command &Put) const;
 
   /// At most `Most` changes with a revision above `Since`, oldest first, of the
--- a/tests/store/test_resource_json.cpp
+++ b/tests/store/test_resource_json.cpp
@@ -96,6 +96,23 @@
   CHECK(Parsed.Errors[1].Message == "there is no such field");
 }
 
+// Guards against an operator who learns of faults one after another.
+TEST_CASE("faults of form, values and references come at once") {
+  session Session;
+  Session.put("1", "north-a", 0, {failure_domain{"r", {}}});
+  Session.put("2", "ledger", 0, {plainService()});
+  Session.put("3", "w1", 0, {upstreamAt("127.0.0.1:1")});
+  const auto Parsed = parsePutText(
+      R"({"kind":"upstream","name":"w2","spec":{"address":"127.0.0.1:1",
+          "services":["ledgr",5],"max_concurrent":0,"stat":"in"}})",
+      "4");
+  CHECK(faultsOf(allErrors(Parsed, Session.Store)) ==
+        std::vector<std::string>{
+            "spec.failure_domain missing", "spec.services[1] wrong_type",
+            "spec.stat unknown_field", "spec.max_concurrent out_of_range",
+            "spec.address duplicate", "spec.services[0] no_such_object"});
+}
+
 // Guards against a field that is lost between the API, the log and the API.
 TEST_CASE("an object that was read can be written back") {
   session Session;
--- a/tests/store/test_session.cpp
+++ b/tests/store/test_session.cpp
@@ -5,8 +5,10 @@
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <random>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace arbutus;
@@ -26,6 +28,18 @@
   return {std::move(Title), makeCommand(std::move(Command))};
 }
 
+constexpr std::size_t HeaderBytes = 17;
+
+/// Gives a changed snapshot the checksum of its content.
+std::string sealed(std::string Bytes) {
+  auto Sum = hash64(std::string_view(Bytes).substr(HeaderBytes));
+  for (std::size_t At = HeaderBytes - 1; At > HeaderBytes - 9; --At) {
+    Bytes[At] = static_cast<char>(Sum & 0xffU);
+    Sum >>= 8U;
+  }
+  return Bytes;
+}
+
 step putStep(const std::string &Id, const std::string &Name,
              std::uint64_t Version, resource_spec Spec) {
   return stepOf("put " + Name + " version " + std::to_string(Version) +
@@ -249,7 +263,12 @@
 TEST_CASE("restore answers bad snapshots with typed errors") {
   session Session;
   Session.put("1", "north-a", 0, {failure_domain{"r", {}}});
+  Session.put("2", "ledger", 0, {plainService()});
+  Session.put("3", "w1", 0, {upstreamAt("127.0.0.1:1")});
   const auto Good = Session.Store.snapshot();
+  auto Dangling = Good;
+  Dangling.replace(Good.find("north-a", Good.find("127.0.0.1:1")), 7,
+                   "north-b");
   const auto With = [&Good](std::size_t At, char Byte) {
     auto Bytes = Good;
     Bytes[At] = Byte;
@@ -268,6 +287,10 @@
        snapshot_error_code::ChecksumMismatch},
       {"flipped", With(Good.size() - 1, 'x'),
        snapshot_error_code::ChecksumMismatch},
+      {"no content", sealed(Good.substr(0, HeaderBytes)),
+       snapshot_error_code::Malformed},
+      {"dangling reference", sealed(Dangling),
+       snapshot_error_code::Inconsistent},
   };
   for (const auto &Row : Rows) {
     CAPTURE(Row.Name);
@@ -277,3 +300,32 @@
     CHECK(Session.Store.snapshot() == Good);
   }
 }
+
+// Guards against a damaged snapshot or entry that ends the process.
+TEST_CASE("changed bytes never end the process") {
+  session Session;
+  for (const auto &Steps : {resourceSteps(), claimSteps()}) {
+    for (const auto &Step : Steps) {
+      Session.run(Step.Command);
+    }
+  }
+  const auto Good = Session.Store.snapshot();
+  const auto Entry = encodeBatch({1, {resourceSteps()[1].Command}});
+  std::mt19937 Random(11);
+  int Accepted = 0;
+  for (int I = 0; I < 20'000; ++I) {
+    auto Bytes = Good;
+    const auto At = HeaderBytes + Random() % (Bytes.size() - HeaderBytes);
+    Bytes[At] = static_cast<char>(Random());
+    state_machine Other;
+    if (Other.restore(sealed(Bytes)).has_value()) {
+      ++Accepted;
+      REQUIRE(Other.restore(Other.snapshot()).has_value());
+    }
+    auto Changed = Entry;
+    Changed[1 + Random() % (Entry.size() - 1)] = static_cast<char>(Random());
+    Other.apply(Other.appliedIndex() + 1, Changed);
+    REQUIRE(Other.restore(Other.snapshot()).has_value());
+  }
+  CHECK(Accepted > 0);
+}
