--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -17,12 +17,10 @@
     if (Voter.node() == State.Options.Self) {
       continue;
     }
-    sendMessage(State, Voter.node(),
-                vote_request{PreVote, State.Log.lastIndex(),
-                             State.Log.lastTerm(), Voter.Disk});
-    if (PreVote) {
-      State.Out.Messages.back().Term = State.Hard.Term + 1;
-    }
+    auto &Message = sendMessage(State, Voter.node(),
+                                vote_request{PreVote, State.Log.lastIndex(),
+                                             State.Log.lastTerm(), Voter.Disk});
+    Message.Term += PreVote ? 1 : 0;
   }
 }
 
@@ -102,11 +100,10 @@
                         !leaderMayHoldLease(State);
   if (Request.PreVote) {
     const bool Granted = Eligible && Message.Term > State.Hard.Term;
-    sendMessage(State, Message.from(),
-                vote_reply{true, Granted, number(State.Options.Disk)});
-    if (Granted) {
-      State.Out.Messages.back().Term = Message.Term;
-    }
+    auto &Reply =
+        sendMessage(State, Message.from(),
+                    vote_reply{true, Granted, number(State.Options.Disk)});
+    Reply.Term = Granted ? Message.Term : State.Hard.Term;
     return;
   }
   const bool Granted =
--- a/src/consensus/raft_state.cpp
+++ b/src/consensus/raft_state.cpp
@@ -30,13 +30,13 @@
   return false;
 }
 
-void sendMessage(raft_state &State, node_id To, message_body Body) {
+message &sendMessage(raft_state &State, node_id To, message_body Body) {
   const bool FromLeader = std::holds_alternative<append_request>(Body) ||
                           std::holds_alternative<snapshot_chunk>(Body);
   message Message{number(State.Options.Self), number(To), State.Hard.Term,
                   std::move(Body)};
   auto &Queue = FromLeader ? State.Out.EarlyMessages : State.Out.Messages;
-  Queue.push_back(std::move(Message));
+  return Queue.emplace_back(std::move(Message));
 }
 
 void setHardState(raft_state &State, std::uint64_t Term,
--- a/src/consensus/raft_state.h
+++ b/src/consensus/raft_state.h
@@ -100,8 +100,9 @@
 };
 
 /// Adds a message to the output. A leader's appends and chunks may leave
-/// before the sync of this step; everything else waits for it.
-void sendMessage(raft_state &State, node_id To, message_body Body);
+/// before the sync of this step; everything else waits for it. Returns the
+/// message, which carries the current term, until the next one is added.
+message &sendMessage(raft_state &State, node_id To, message_body Body);
 
 /// Sets term and vote and has them written.
 void setHardState(raft_state &State, std::uint64_t Term,
--- /dev/null
+++ b/tests/consensus/test_election.cpp
@@ -0,0 +1,179 @@
+#include "fake_cluster.h"
+#include "single_node.h"
+#include <catch2/catch.hpp>
+
+using namespace arbutus;
+using namespace arbutus::consensus;
+using fake::only;
+using fake::single_node;
+
+// Guards against a vote that lets a second leader arise in a term, a leader
+// that lacks committed entries, or a leader beside one that holds a lease.
+TEST_CASE("a vote is given only when every rule allows it") {
+  struct row {
+    std::string Name;
+    duration SinceLeader;
+    std::uint64_t Term;
+    vote_request Request;
+    bool Granted;
+  };
+  // The node's log ends with index 3 of term 4.
+  const std::vector<row> Rows = {
+      {"same log", 900ms, 5, {false, 3, 4, 0}, true},
+      {"longer log", 900ms, 5, {false, 9, 4, 0}, true},
+      {"later last term", 900ms, 6, {false, 2, 5, 0}, true},
+      {"shorter log", 900ms, 5, {false, 2, 4, 0}, false},
+      {"earlier last term", 900ms, 5, {false, 9, 3, 0}, false},
+      {"earlier term", 900ms, 3, {false, 3, 4, 0}, false},
+      {"another disk", 900ms, 5, {false, 3, 4, 8}, false},
+      {"leader heard", 799ms, 5, {false, 3, 4, 0}, false},
+      {"pre-vote", 900ms, 5, {true, 3, 4, 0}, true},
+      {"pre-vote for the current term", 900ms, 4, {true, 3, 4, 0}, false},
+      {"pre-vote, leader heard", 799ms, 5, {true, 3, 4, 0}, false},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    single_node Node(single_node::withTerms({4, 4}));
+    (void)Node.receive(3, 4, append_request{3, 4, 0, 0, {}});
+    Node.Now += Row.SinceLeader;
+    const auto Out = Node.receive(2, Row.Term, Row.Request);
+    const auto Reply = only<vote_reply>(Out.Messages);
+    CHECK((Reply && Reply->Granted) == Row.Granted);
+    CHECK(Out.EarlyMessages.empty());
+    const bool Voted = Row.Granted && !Row.Request.PreVote;
+    CHECK((Out.Writes.Hard && Out.Writes.Hard->VotedFor) == Voted);
+  }
+}
+
+// Guards against two votes in one term, also across a restart.
+TEST_CASE("a voter votes once a term") {
+  auto Recovered = single_node::threeVoters();
+  Recovered.Hard = {5, node_id{3}};
+  single_node Node(Recovered);
+  Node.Now += 900ms;
+  const vote_request Request{false, 1, 1, 0};
+  CHECK_FALSE(only<vote_reply>(Node.receive(2, 5, Request).Messages)->Granted);
+  CHECK(only<vote_reply>(Node.receive(3, 5, Request).Messages)->Granted);
+}
+
+// Guards against a vote beside a lease that the former life acknowledged.
+TEST_CASE("a restarted voter refuses votes for the least election timeout") {
+  single_node Node;
+  Node.Now += MinElectionTimeout - 1ms;
+  CHECK(Node.receive(2, 2, vote_request{false, 1, 1, 0}).Messages.empty());
+  CHECK(Node.status().Term == 1);
+  Node.Now += 1ms;
+  const auto Out = Node.receive(2, 2, vote_request{false, 1, 1, 0});
+  CHECK(only<vote_reply>(Out.Messages)->Granted);
+}
+
+// Guards against a cut off node that raises its term and deposes a working
+// leader on its return.
+TEST_CASE("a node without a majority keeps its term") {
+  single_node Node;
+  for (int Second = 0; Second < 60; ++Second) {
+    Node.Now += 1s;
+    (void)Node.step(tick{});
+  }
+  CHECK(Node.status().Term == 1);
+  CHECK(Node.status().Role == role::PreCandidate);
+}
+
+// Guards against votes by a process that lost what it voted before.
+TEST_CASE("a voter with an empty disk neither campaigns nor votes") {
+  single_node Node({}, disk_id{77});
+  (void)Node.receive(
+      2, 3, append_request{0, 0, 1, 0, single_node::threeVoters().Entries});
+  CHECK(Node.status().Voters.Voters.size() == 3);
+  CHECK_FALSE(Node.status().MayVote);
+  Node.Now += 10s;
+  CHECK(Node.step(tick{}).Messages.empty());
+  const auto Out = Node.receive(3, 4, vote_request{false, 9, 3, 0});
+  CHECK_FALSE(only<vote_reply>(Out.Messages)->Granted);
+}
+
+// Guards against a sole voter that leads one term twice with different entries
+// (explorer seed 6571).
+TEST_CASE("a sole voter leads only after its vote is synced") {
+  single_node Node(bootstrapState(bootstrapVoters({node_id{1}})));
+  Node.Now += MaxElectionTimeout;
+  const auto Out = Node.step(tick{});
+  CHECK(Out.Writes.Hard->Term == 2);
+  CHECK(Node.status().Role == role::Candidate);
+  const auto Led = Node.sync(Out);
+  CHECK(Node.status().Role == role::Leader);
+  CHECK(Node.sync(Led).Committed.size() == 2);
+}
+
+// Guards against a deadlock of two voters (explorer seeds 719, 866 and 2193):
+// only the removed voter holds its removal, so that the other's log is shorter.
+TEST_CASE("a voter campaigns until its removal is known to be committed") {
+  auto Recovered = bootstrapState(bootstrapVoters({node_id{1}, node_id{2}}));
+  Recovered.Entries.push_back(
+      {2, 1, entry_kind::Voters, encode(bootstrapVoters({node_id{2}}))});
+  single_node Node(Recovered);
+  Node.Now += MaxElectionTimeout;
+  CHECK(only<vote_request>(Node.step(tick{}).Messages)->PreVote);
+  (void)Node.sync(Node.receive(2, 2, vote_reply{true, true, 0}));
+  CHECK(Node.status().Role == role::Candidate);
+  (void)Node.sync(Node.receive(2, 2, vote_reply{false, true, 0}));
+  CHECK(Node.status().Role == role::Leader);
+  (void)Node.accept(2, 3);
+  CHECK(Node.status().Role == role::Follower);
+  Node.Now += MaxElectionTimeout;
+  CHECK(Node.step(tick{}).Messages.empty());
+}
+
+// Guards against a leader that goes on without a majority, and against a
+// frozen one that wakes and answers.
+TEST_CASE("a leader that hears no majority steps down") {
+  single_node Node;
+  Node.leadCommitted();
+  Node.Now += MinElectionTimeout - 1ms;
+  (void)Node.step(tick{});
+  CHECK(Node.status().Role == role::Leader);
+  Node.Now += 1ms;
+  CHECK(Node.step(proposal_batch{{"late"}}).Refused->Reason ==
+        refusal_reason::NotLeader);
+  CHECK(Node.status().Role == role::Follower);
+}
+
+// Guards against stale reads: each row is a state in which another leader may
+// have committed more, or in which this one does not know what is committed.
+TEST_CASE("reads are refused without a lease and an entry of the term") {
+  single_node Node;
+  const auto Refusal = [&Node] {
+    const auto Index = Node.Node.readIndex(Node.Now);
+    return Index ? "" : std::string(nameOf(Index.error().Reason));
+  };
+  CHECK(Refusal() == "not_leader");
+  (void)Node.sync(Node.lead());
+  CHECK(Refusal() == "no_entry_of_term");
+  const auto SentAt = Node.Now;
+  Node.Now += 500ms;
+  (void)Node.accept(2, 2, SentAt);
+  CHECK(Node.Node.readIndex(Node.Now).value() == 2);
+  // The lease counts from sending, not from the answer.
+  Node.Now += 100ms;
+  CHECK(Refusal() == "lease_expired");
+  // A voter that answers from another disk does not extend it.
+  (void)Node.accept(2, 2, Node.Now, 99);
+  CHECK(Refusal() == "lease_expired");
+  (void)Node.accept(3, 2, Node.Now);
+  CHECK(Refusal().empty());
+  (void)Node.step(storage_failed{});
+  CHECK(Refusal() == "storage_failed");
+}
+
+// Guards against a node that acknowledges although its disk is failing.
+TEST_CASE("a node with failed storage is silent") {
+  single_node Node;
+  Node.leadCommitted();
+  (void)Node.step(storage_failed{});
+  Node.Now += 10s;
+  const auto Out = Node.receive(2, 9, vote_request{false, 9, 9, 0});
+  CHECK(Out.Messages.empty());
+  CHECK(Node.step(tick{}).EarlyMessages.empty());
+  CHECK(Node.step(proposal_batch{{"x"}}).Refused->Reason ==
+        refusal_reason::StorageFailed);
+}
--- /dev/null
+++ b/tests/consensus/test_replication.cpp
@@ -0,0 +1,231 @@
+#include "fake_cluster.h"
+#include "single_node.h"
+#include <catch2/catch.hpp>
+
+using namespace arbutus;
+using namespace arbutus::consensus;
+using fake::only;
+using fake::single_node;
+
+namespace {
+
+log_entry entry(std::uint64_t Index, std::uint64_t Term) {
+  return {Index, Term, entry_kind::Proposal, "y"};
+}
+
+} // namespace
+
+// Guards against one sync or message for each proposal of a batch.
+TEST_CASE("a batch of proposals is one append") {
+  single_node Node;
+  Node.leadCommitted();
+  (void)Node.accept(3, 2);
+  const auto Out = Node.step(proposal_batch{{"a", "b", "c"}});
+  CHECK(Out.Writes.Append.size() == 3);
+  CHECK(Out.EarlyMessages.size() == 2);
+  CHECK(Out.Messages.empty());
+  CHECK(Out.Accepted->FirstIndex == 3);
+  CHECK(Out.Accepted->LastIndex == 5);
+}
+
+// Guards against a commit that counts entries which a crash could still lose.
+TEST_CASE("a leader counts itself only after its sync") {
+  single_node Node;
+  Node.leadCommitted();
+  const auto Out = Node.step(proposal_batch{{"a"}});
+  CHECK(Node.accept(2, 3).Committed.empty());
+  CHECK(Node.sync(Out).Committed.size() == 1);
+}
+
+// Guards against the loss of an entry of an earlier term that a majority held
+// but that a later leader could still overwrite.
+TEST_CASE("an earlier term's entry commits only with one of the own term") {
+  single_node Node(single_node::withTerms({2, 3}));
+  (void)Node.sync(Node.lead());
+  CHECK(Node.accept(2, 3).Committed.empty());
+  CHECK(Node.accept(2, 4).Committed.size() == 4);
+}
+
+// Guards against acknowledgements that another data directory gave.
+TEST_CASE("an answer from another disk does not count") {
+  single_node Node;
+  (void)Node.sync(Node.lead());
+  CHECK(Node.accept(2, 2, std::nullopt, 99).Committed.empty());
+  CHECK(Node.accept(3, 2).Committed.size() == 2);
+}
+
+// Guards against entries that differ from the leader's or follow a gap.
+TEST_CASE("a follower's log becomes the leader's") {
+  struct row {
+    std::string Name;
+    append_request Request;
+    bool Accepted;
+    std::uint64_t Index;
+    std::uint64_t Last;
+    bool Truncated;
+  };
+  // The log holds terms 1, 2, 2, 3; index 1 is committed.
+  const std::vector<row> Rows = {
+      {"heartbeat", {4, 3, 0, 0, {}}, true, 4, 4, false},
+      {"next entry", {4, 3, 0, 0, {entry(5, 4)}}, true, 5, 5, false},
+      {"known entry", {3, 2, 0, 0, {entry(4, 3)}}, true, 4, 4, false},
+      {"late heartbeat", {2, 2, 0, 0, {}}, true, 2, 4, false},
+      {"other entry", {3, 2, 0, 0, {entry(4, 4)}}, true, 4, 4, true},
+      {"other entry earlier", {1, 1, 0, 0, {entry(2, 4)}}, true, 2, 2, true},
+      {"gap", {6, 4, 0, 0, {entry(7, 4)}}, false, 4, 4, false},
+      {"conflict skips the term", {3, 3, 0, 0, {}}, false, 1, 4, false},
+      {"wrong index", {4, 3, 0, 0, {entry(9, 4)}}, false, 0, 4, false},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    single_node Node(single_node::withTerms({2, 2, 3}));
+    (void)Node.receive(2, 4, append_request{1, 1, 1, 0, {}});
+    const auto Out = Node.receive(2, 4, Row.Request);
+    const auto Reply = only<append_reply>(Out.Messages);
+    REQUIRE(Reply);
+    CHECK(Reply->Accepted == Row.Accepted);
+    CHECK(Reply->Index == Row.Index);
+    CHECK(Node.status().LastIndex == Row.Last);
+    CHECK(Out.Writes.TruncateFrom.has_value() == Row.Truncated);
+  }
+}
+
+// Guards against a leader of an old term that never learns of the new one.
+TEST_CASE("a message of an earlier term is answered with the term") {
+  single_node Node(single_node::withTerms({5}));
+  const auto Out = Node.receive(2, 3, append_request{1, 1, 1, 0, {}});
+  REQUIRE(Out.Messages.size() == 1);
+  CHECK(Out.Messages.front().Term == 5);
+  CHECK(Node.receive(2, 3, append_reply{}).Messages.empty());
+}
+
+// Guards against an unbounded backlog in the network towards a slow member.
+TEST_CASE("unanswered appends are limited") {
+  single_node Node;
+  Node.leadCommitted();
+  std::size_t Sent = 0;
+  for (int Batch = 0; Batch < 100; ++Batch) {
+    Sent += Node.step(proposal_batch{{"x"}}).EarlyMessages.size();
+  }
+  CHECK(Sent == MaxAppendsInFlight);
+}
+
+// Guards against a change of two voters at once, which could leave disjoint
+// majorities, and against voters that stall commits.
+TEST_CASE("members change one at a time") {
+  single_node Node;
+  const auto Change = [&Node](change_kind Kind, std::uint32_t Id,
+                              std::uint64_t Disk = 0) {
+    const auto Out = Node.step(voter_change{Kind, node_id{Id}, disk_id{Disk}});
+    if (Out.Refused) {
+      return std::string(nameOf(Out.Refused->Reason));
+    }
+    (void)Node.sync(Out);
+    return std::string("accepted");
+  };
+  CHECK(Change(change_kind::Remove, 3) == "not_leader");
+  (void)Node.sync(Node.lead());
+  CHECK(Change(change_kind::Remove, 3) == "no_entry_of_term");
+  (void)Node.accept(2, 2);
+  CHECK(Change(change_kind::Promote, 4) == "not_member");
+  CHECK(Change(change_kind::Promote, 2) == "already_member");
+  CHECK(Change(change_kind::AddLearner, 4, 9) == "accepted");
+  CHECK(Change(change_kind::Remove, 3) == "change_in_progress");
+  (void)Node.accept(2, 3);
+  CHECK(Change(change_kind::AddLearner, 4, 9) == "already_member");
+  CHECK(Change(change_kind::Promote, 4) == "not_caught_up");
+  (void)Node.accept(4, 3, std::nullopt, 8);
+  CHECK(Change(change_kind::Promote, 4) == "not_caught_up");
+  (void)Node.accept(4, 3, std::nullopt, 9);
+  CHECK(Change(change_kind::Promote, 4) == "accepted");
+  (void)Node.accept(2, 4);
+  CHECK(Node.status().Commit == 3);
+  (void)Node.accept(3, 4);
+  CHECK(Node.status().Commit == 4);
+  // A voter whose disk was lost comes back as a learner.
+  CHECK(Change(change_kind::AddLearner, 3, 33) == "accepted");
+  CHECK(Node.status().Voters.Voters.size() == 3);
+  CHECK(Node.status().Voters.isLearner(node_id{3}));
+  single_node Sole(bootstrapState(bootstrapVoters({node_id{1}})));
+  Sole.Now += MaxElectionTimeout;
+  (void)Sole.sync(Sole.sync(Sole.step(tick{})));
+  CHECK(Sole.step(voter_change{change_kind::Remove, node_id{1}, {}})
+            .Refused->Reason == refusal_reason::LastVoter);
+}
+
+// Guards against chunks above the mesh's limit, a snapshot that is taken
+// before it is complete, and bytes that are put together wrongly.
+TEST_CASE("a lagging member gets the snapshot in chunks") {
+  single_node Leader;
+  Leader.leadCommitted();
+  const auto Data = std::make_shared<const std::string>(150'000, 's');
+  for (int Batch = 0; Batch < 12; ++Batch) {
+    const auto Out =
+        Leader.step(proposal_batch{std::vector<std::string>(100, "x")});
+    (void)Leader.sync(Out);
+    (void)Leader.accept(2, Out.Accepted->LastIndex);
+  }
+  CHECK(Leader.status().Commit == 1202);
+  CHECK(Leader.Node.snapshotMeta(1203) == std::nullopt);
+  const auto Saved = Leader.step(snapshot_saved{1202, Data});
+  CHECK(Saved.Writes.DropThrough == 1202 - TrailingEntries);
+  CHECK(Leader.Node.snapshotMeta(1202) == std::nullopt);
+  // Node 3 has nothing.
+  auto Out = Leader.receive(3, 2, append_reply{false, 0, 0, 5});
+  single_node Follower({}, disk_id{5});
+  std::vector<std::size_t> Sizes;
+  output Taken;
+  while (const auto Chunk = only<snapshot_chunk>(Out.EarlyMessages)) {
+    Sizes.push_back(Chunk->Bytes.size());
+    (void)Follower.receive(3, 2, *Chunk);
+    Taken = Follower.receive(3, 2, *Chunk); // a repeated chunk adds nothing
+    const auto Reply = only<snapshot_reply>(Taken.Messages);
+    REQUIRE(Reply);
+    if (Reply->Installed) {
+      break;
+    }
+    Out = Leader.receive(3, 2, snapshot_reply{*Reply});
+  }
+  CHECK(Sizes == std::vector<std::size_t>{65536, 65536, 150'000 - 131'072});
+  CHECK(Follower.status().Commit == 1202);
+  CHECK(Follower.status().Voters.Voters.size() == 3);
+}
+
+// Guards against the loss of acknowledged entries that follow the snapshot.
+TEST_CASE("a snapshot does not replace a log that already holds it") {
+  single_node Node(single_node::withTerms({2, 2, 2}));
+  const snapshot_meta Meta{3, 2, bootstrapVoters({node_id{1}})};
+  const auto Out = Node.receive(2, 3, snapshot_chunk{Meta, 0, 1, 0, "s"});
+  CHECK(only<snapshot_reply>(Out.Messages)->Installed);
+  CHECK_FALSE(Out.Restore);
+  CHECK(Out.Committed.size() == 3);
+  CHECK(Node.status().LastIndex == 4);
+  single_node Other(single_node::withTerms({2, 2, 2}));
+  const snapshot_meta Differs{3, 3, bootstrapVoters({node_id{1}})};
+  const auto Reset = Other.receive(2, 3, snapshot_chunk{Differs, 0, 1, 0, "s"});
+  CHECK(Reset.Restore->Meta == Differs);
+  CHECK(Reset.Writes.ResetLog);
+  CHECK(Other.status().LastIndex == 3);
+}
+
+// Guards against messages that change on their way or crash the receiver.
+TEST_CASE("messages survive the way through bytes") {
+  const std::vector<message_body> Bodies = {
+      vote_request{true, 1, 2, 3},
+      vote_reply{true, false, 4},
+      append_request{1, 2, 3, 4, {entry(5, 6)}},
+      append_reply{true, 1, 2, 3},
+      snapshot_chunk{{1, 2, bootstrapVoters({node_id{1}})}, 3, 4, 5, "bytes"},
+      snapshot_reply{1, 2, true, 3, 4}};
+  for (const auto &Body : Bodies) {
+    const message Sent{1, 2, 3, Body};
+    const auto Bytes = encode(Sent);
+    const auto Got = decode<message>(Bytes);
+    REQUIRE(Got);
+    CHECK(encode(Got.value()) == Bytes);
+    CHECK_FALSE(decode<message>(Bytes.substr(0, Bytes.size() - 1)));
+  }
+  auto Unknown = encode(message{1, 2, 3, vote_reply{}});
+  Unknown[4] = 6; // the number of the kind
+  CHECK_FALSE(decode<message>(Unknown));
+}
