--- /dev/null
+++ b/src/cli/command_line.cpp
@@ -0,0 +1,182 @@
+#include "cli/command_line.h"
+
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <optional>
+
+namespace arbutus::cli {
+
+namespace {
+
+constexpr const char *Usage = R"(arbutustack: a fleet of request routers.
+
+Usage:
+  arbutustack serve --config=FILE
+  arbutustack check --config=FILE
+  arbutustack init --config=FILE
+  arbutustack get KIND [NAME] [options] [--server=ADDRESS]...
+  arbutustack apply FILE [options] [--server=ADDRESS]...
+  arbutustack delete KIND NAME [--version=N] [options] [--server=ADDRESS]...
+  arbutustack watch [--since=REVISION] [options] [--server=ADDRESS]...
+  arbutustack drain (domain|upstream|node) NAME [options] [--server=ADDRESS]...
+  arbutustack restore (domain|upstream|node) NAME [options] [--server=ADDRESS]...
+  arbutustack status [options] [--server=ADDRESS]...
+  arbutustack --help
+
+Options:
+  --operator-key-file=FILE  File with the operator key, mode 0600 or 0400.
+  --output=FORMAT           json or table [default: table].
+
+  -h --help            Shows this text; `arbutustack --version` the version.
+  --config=FILE        Settings file.
+  --server=ADDRESS     A router as host:port. Repeat it or separate several by
+                       commas; they are tried in order. 127.0.0.1:8080 if none
+                       is given.
+  --version=N          Deletes only this version of the object.
+  --since=REVISION     Shows changes after this revision, not only new ones.
+
+Exit codes:
+  0  ok
+  1  refused by the server (conflict, invalid, not found, wrong key)
+  2  the command line is wrong
+  3  a settings, key or resource file is invalid
+  4  no server was reached, or none could serve the command
+  5  the answer to a write is lost; it may be in force
+)";
+
+constexpr const char *DefaultServer = "127.0.0.1:8080";
+
+using arguments = std::map<std::string, docopt::value>;
+
+bool isSet(const arguments &Parsed, const std::string &Key) {
+  const auto Found = Parsed.find(Key);
+  return Found != Parsed.end() && Found->second.isBool() &&
+         Found->second.asBool();
+}
+
+std::string textOf(const arguments &Parsed, const std::string &Key) {
+  const auto Found = Parsed.find(Key);
+  return Found != Parsed.end() && Found->second.isString()
+             ? Found->second.asString()
+             : std::string();
+}
+
+std::vector<std::string> serversOf(const arguments &Parsed) {
+  std::vector<std::string> Servers;
+  const auto Found = Parsed.find("--server");
+  if (Found != Parsed.end() && Found->second.isStringList()) {
+    for (const auto &Given : Found->second.asStringList()) {
+      std::size_t Start = 0;
+      while (Start <= Given.size()) {
+        const auto Comma = std::min(Given.find(',', Start), Given.size());
+        if (Comma > Start) {
+          Servers.push_back(Given.substr(Start, Comma - Start));
+        }
+        Start = Comma + 1;
+      }
+    }
+  }
+  if (Servers.empty()) {
+    Servers.emplace_back(DefaultServer);
+  }
+  return Servers;
+}
+
+std::optional<std::uint64_t> integer(const std::string &Text) {
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Stop, Error] = std::from_chars(Text.data(), End, Value);
+  if (Text.empty() || Error != std::errc() || Stop != End) {
+    return std::nullopt;
+  }
+  return Value;
+}
+
+struct command_name {
+  const char *Name;
+  command_kind Kind;
+};
+constexpr command_name CommandNames[] = {
+    {"serve", command_kind::Serve},     {"check", command_kind::Check},
+    {"init", command_kind::Init},       {"get", command_kind::Get},
+    {"apply", command_kind::Apply},     {"delete", command_kind::Delete},
+    {"watch", command_kind::Watch},     {"drain", command_kind::Drain},
+    {"restore", command_kind::Restore}, {"status", command_kind::Status},
+};
+
+struct target_name {
+  const char *Word;
+  const char *ResourceKind;
+};
+constexpr target_name TargetNames[] = {
+    {"domain", "failure_domain"}, {"upstream", "upstream"}, {"node", "node"}};
+
+result<command, usage_error> toCommand(const arguments &Parsed) {
+  command Command;
+  for (const auto &Row : CommandNames) {
+    if (isSet(Parsed, Row.Name)) {
+      Command.Kind = Row.Kind;
+    }
+  }
+  Command.ResourceKind = textOf(Parsed, "KIND");
+  for (const auto &Row : TargetNames) {
+    if (isSet(Parsed, Row.Word)) {
+      Command.ResourceKind = Row.ResourceKind;
+    }
+  }
+  Command.Name = textOf(Parsed, "NAME");
+  const auto Config = textOf(Parsed, "--config");
+  Command.File = Config.empty() ? textOf(Parsed, "FILE") : Config;
+  Command.Servers = serversOf(Parsed);
+  Command.OperatorKeyFile = textOf(Parsed, "--operator-key-file");
+  const auto Output = textOf(Parsed, "--output");
+  if (Output == "json") {
+    Command.Output = output_format::Json;
+  } else if (!Output.empty() && Output != "table") {
+    return usage_error{"--output must be json or table, not " + Output};
+  }
+  if (const auto Version = textOf(Parsed, "--version"); !Version.empty()) {
+    const auto Number = integer(Version);
+    if (!Number || *Number == 0) {
+      return usage_error{"--version must be a positive integer, not " +
+                         Version};
+    }
+    Command.Version = *Number;
+  }
+  if (const auto Since = textOf(Parsed, "--since"); !Since.empty()) {
+    const auto Number = integer(Since);
+    if (!Number) {
+      return usage_error{"--since must be an integer, not " + Since};
+    }
+    Command.Since = *Number;
+    Command.HasSince = true;
+  }
+  return Command;
+}
+
+} // namespace
+
+std::string_view usage() noexcept { return Usage; }
+
+result<command, usage_error>
+parseCommandLine(const std::vector<std::string> &Arguments) {
+  // `--version` takes a value after `delete`, so that docopt cannot know it as
+  // a flag as well.
+  if (Arguments.size() == 1 && Arguments[0] == "--version") {
+    command Command;
+    Command.Kind = command_kind::Version;
+    return Command;
+  }
+  try {
+    return toCommand(docopt::docopt_parse(Usage, Arguments, true, false));
+  } catch (const docopt::DocoptExitHelp &) {
+    return command{};
+  } catch (const docopt::DocoptArgumentError &Error) {
+    return usage_error{Error.what()};
+  }
+}
+
+} // namespace arbutus::cli
--- /dev/null
+++ b/src/cli/command_line.h
@@ -0,0 +1,65 @@
+#ifndef ARBUTUS_CLI_COMMAND_LINE_H
+#define ARBUTUS_CLI_COMMAND_LINE_H
+
+#include "base/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace arbutus::cli {
+
+enum class command_kind {
+  Help,
+  Version,
+  Init,
+  Serve,
+  Check,
+  Get,
+  Apply,
+  Delete,
+  Watch,
+  Drain,
+  Restore,
+  Status,
+};
+
+enum class output_format { Table, Json };
+
+/// A command line that matches the usage.
+struct command {
+  command_kind Kind = command_kind::Help;
+  /// Settings file, or the resource file of `apply`.
+  std::string File;
+  /// Kind of a resource, in the words of the resource API.
+  std::string ResourceKind;
+  /// Empty for all objects of the kind.
+  std::string Name;
+  /// Expected version of `delete`; 0 for the present one.
+  std::uint64_t Version = 0;
+  /// Revision after which `watch` starts.
+  std::uint64_t Since = 0;
+  /// False if `watch` starts at the present revision.
+  bool HasSince = false;
+  /// `ip:port` or `host:port`, in the order in which they are tried.
+  std::vector<std::string> Servers;
+  std::string OperatorKeyFile;
+  output_format Output = output_format::Table;
+};
+
+/// Why a command line does not match the usage.
+struct usage_error {
+  std::string Reason;
+};
+
+/// The help text, which is also the grammar of the command line.
+[[nodiscard]] std::string_view usage() noexcept;
+
+/// Reads the arguments after the program name.
+[[nodiscard]] result<command, usage_error>
+parseCommandLine(const std::vector<std::string> &Arguments);
+
+} // namespace arbutus::cli
+
+#endif
--- /dev/null
+++ b/src/cli/resource_file.cpp
@@ -0,0 +1,79 @@
+#include "cli/resource_file.h"
+
+#include "store/resource_json.h"
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace arbutus::cli {
+
+namespace {
+
+constexpr std::string_view KindOrder[] = {"failure_domain", "policy", "service",
+                                          "team", "upstream"};
+
+std::ptrdiff_t rankOf(const std::string &Kind) {
+  return std::find(std::begin(KindOrder), std::end(KindOrder), Kind) -
+         std::begin(KindOrder);
+}
+
+bool hasText(const nlohmann::json &Object, const char *Key) {
+  return Object.contains(Key) && Object[Key].is_string();
+}
+
+} // namespace
+
+result<std::vector<wanted_resource>, resource_file_errors>
+parseResources(std::string_view Text) {
+  const auto Json = nlohmann::json::parse(Text, nullptr, false);
+  if (!Json.is_array()) {
+    return resource_file_errors{"the file is not a JSON array"};
+  }
+  std::vector<wanted_resource> Resources;
+  resource_file_errors Errors;
+  std::set<std::pair<std::string, std::string>> Seen;
+  for (std::size_t I = 0; I < Json.size(); ++I) {
+    const auto &Object = Json[I];
+    const std::string Place = "[" + std::to_string(I) + "]";
+    if (!Object.is_object() || !hasText(Object, "kind") ||
+        !hasText(Object, "name") || !Object.contains("spec")) {
+      Errors.push_back(Place + ": needs kind, name and spec");
+      continue;
+    }
+    auto Kind = Object["kind"].get<std::string>();
+    auto Name = Object["name"].get<std::string>();
+    if (rankOf(Kind) == std::ssize(KindOrder)) {
+      Errors.push_back(
+          fmt::format("{}.kind: \"{}\" cannot be applied", Place, Kind));
+      continue;
+    }
+    if (!Seen.emplace(Kind, Name).second) {
+      Errors.push_back(
+          fmt::format("{}: {} {} is listed twice", Place, Kind, Name));
+    }
+    auto Parsed = store::parsePut(Object, "apply");
+    for (const auto &Error : Parsed.Errors) {
+      Errors.push_back(
+          fmt::format("{}.{}: {}", Place, Error.Path, Error.Message));
+    }
+    store::resource Complete;
+    Complete.Name = Name;
+    Complete.Spec = std::move(Parsed.Put.Spec);
+    Resources.push_back(
+        {std::move(Kind), std::move(Name), store::toJson(Complete)["spec"]});
+  }
+  if (!Errors.empty()) {
+    return Errors;
+  }
+  std::stable_sort(
+      Resources.begin(), Resources.end(),
+      [](const wanted_resource &Left, const wanted_resource &Right) {
+        return rankOf(Left.Kind) < rankOf(Right.Kind);
+      });
+  return Resources;
+}
+
+} // namespace arbutus::cli
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -58,9 +58,10 @@
     return send_outcome::QueueFull;
   }
   // The sequence is taken under the lock, so that it grows along the queue.
-  const auto Frame = buildFrame(
-      {Kind, Context.Self, Peer.Node, Context.Incarnation, ++Context.Sequence},
-      Payload, Context.FleetKey);
+  const auto Frame =
+      buildFrame({Kind, Context.Self, Peer.Node, Context.Incarnation.load(),
+                  ++Context.Sequence},
+                 Payload, Context.FleetKey);
   nng_msg *Allocated = nullptr;
   if (nng_msg_alloc(&Allocated, 0) != 0) {
     throw std::bad_alloc();
--- /dev/null
+++ b/tests/cli/test_command_line.cpp
@@ -0,0 +1,147 @@
+#include "cli/cli.h"
+#include "cli/command_line.h"
+#include "cli/exit_code.h"
+#include <catch2/catch.hpp>
+
+#include <iostream>
+#include <sstream>
+
+using namespace arbutus;
+using namespace arbutus::cli;
+
+// Guards against arguments that end up in the wrong place, and against a usage
+// text that docopt reads differently from people.
+TEST_CASE("command lines of the usage are understood") {
+  struct row {
+    std::vector<std::string> Arguments;
+    command_kind Kind;
+    std::string ResourceKind;
+    std::string Name;
+    std::string File;
+    std::vector<std::string> Servers;
+  };
+  const std::vector<std::string> Default = {"127.0.0.1:8080"};
+  const std::vector<row> Rows = {
+      {{"--help"}, command_kind::Help, "", "", "", {}},
+      {{"--version"}, command_kind::Version, "", "", "", {}},
+      {{"serve", "--config", "a.toml"},
+       command_kind::Serve,
+       "",
+       "",
+       "a.toml",
+       Default},
+      {{"check", "--config=a.toml"},
+       command_kind::Check,
+       "",
+       "",
+       "a.toml",
+       Default},
+      {{"init", "--config", "a"}, command_kind::Init, "", "", "a", Default},
+      {{"get", "team"}, command_kind::Get, "team", "", "", Default},
+      {{"get", "team", "blue", "--server", "h:1,h:2", "--server", "h:3"},
+       command_kind::Get,
+       "team",
+       "blue",
+       "",
+       {"h:1", "h:2", "h:3"}},
+      {{"apply", "r.json", "--server=h:1"},
+       command_kind::Apply,
+       "",
+       "",
+       "r.json",
+       {"h:1"}},
+      {{"delete", "team", "blue", "--version", "4", "--output", "json"},
+       command_kind::Delete,
+       "team",
+       "blue",
+       "",
+       Default},
+      {{"watch", "--since", "9", "--operator-key-file", "k"},
+       command_kind::Watch,
+       "",
+       "",
+       "",
+       Default},
+      {{"drain", "domain", "a"},
+       command_kind::Drain,
+       "failure_domain",
+       "a",
+       "",
+       Default},
+      {{"restore", "upstream", "u"},
+       command_kind::Restore,
+       "upstream",
+       "u",
+       "",
+       Default},
+      {{"drain", "node", "n"}, command_kind::Drain, "node", "n", "", Default},
+      {{"status"}, command_kind::Status, "", "", "", Default},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Arguments);
+    const auto Parsed = parseCommandLine(Row.Arguments);
+    REQUIRE(Parsed.has_value());
+    const auto &Command = Parsed.value();
+    CHECK(Command.Kind == Row.Kind);
+    CHECK(Command.ResourceKind == Row.ResourceKind);
+    CHECK(Command.Name == Row.Name);
+    CHECK(Command.File == Row.File);
+    CHECK(Command.Servers == Row.Servers);
+    CHECK(Command.Version == (Row.Kind == command_kind::Delete ? 4 : 0));
+    CHECK(Command.Since == (Row.Kind == command_kind::Watch ? 9 : 0));
+    CHECK((Command.Output == output_format::Json) ==
+          (Row.Kind == command_kind::Delete));
+  }
+}
+
+// Guards against a mistyped command that does something else.
+TEST_CASE("other command lines are usage errors") {
+  const std::vector<std::vector<std::string>> Rows = {
+      {},
+      {"serve"},
+      {"serve", "--config"},
+      {"get"},
+      {"get", "team", "a", "b"},
+      {"drain", "zone", "a"},
+      {"delete", "team"},
+      {"delete", "team", "a", "--version", "x"},
+      {"delete", "team", "a", "--version", "0"},
+      {"watch", "--since", "-1"},
+      {"status", "--output", "xml"},
+      {"status", "--colour"},
+      {"frobnicate"},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row);
+    CHECK(parseCommandLine(Row).has_error());
+  }
+}
+
+// Guards against an exit status that scripts cannot rely on.
+TEST_CASE("run returns the documented exit status") {
+  struct row {
+    std::vector<const char *> Arguments;
+    exit_code Expected;
+  };
+  const std::vector<row> Rows = {
+      {{"x", "--help"}, exit_code::Ok},
+      {{"x", "--version"}, exit_code::Ok},
+      {{"x", "frobnicate"}, exit_code::Usage},
+      {{"x"}, exit_code::Usage},
+      {{"x", "serve", "--config", "/nonexistent"}, exit_code::Invalid},
+      {{"x", "status", "--operator-key-file", "/nonexistent"},
+       exit_code::Invalid},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Arguments.back());
+    const std::ostringstream Sink;
+    auto *Out = std::cout.rdbuf(Sink.rdbuf());
+    auto *Error = std::cerr.rdbuf(Sink.rdbuf());
+    const int Status =
+        run(static_cast<int>(Row.Arguments.size()), Row.Arguments.data(),
+            [](const settings::settings &) { return 99; });
+    std::cout.rdbuf(Out);
+    std::cerr.rdbuf(Error);
+    CHECK(Status == static_cast<int>(Row.Expected));
+  }
+}
