Stop the mesh before the voter ends

Cause: at SIGTERM a process of three crashed in peer_mesh::send. The server destroyed the mesh while the voter's thread still sent through it, and the other order would leave the mesh's receiver with a destroyed voter. Change: peer_mesh::stop ends connections and the receiver, after which send finds no peer; the server stops the mesh, ends the voter and then destroys the mesh.

--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -118,8 +118,13 @@
       Thread->Thread.join();
     }
   }
-  Mesh.reset();
+  // The receiver uses the voter and the voter's thread sends through the mesh,
+  // so the mesh stops first and is destroyed last.
+  if (Mesh) {
+    Mesh->stop();
+  }
   Voter.reset();
+  Mesh.reset();
 }
 
 bool server::start() {
--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -73,18 +73,27 @@
   }
   state(const state &) = delete;
   state &operator=(const state &) = delete;
-  ~state() {
+  ~state() { stop(); }
+
+  void stop() {
     Stopping = true;
     if (Thread.joinable()) {
       Thread.join();
     }
     // Links first, so that they do not wait behind a socket that hangs.
-    Links.clear();
+    link_map Old;
+    {
+      const std::lock_guard PeersLock(PeersMutex);
+      const std::unique_lock Lock(Mutex);
+      Old.swap(Links);
+    }
+    Old.clear();
     if (nng_socket_id(Socket) > 0) {
       // With no reader, frames that arrive stop at their connection, where
       // closing is safe; see `closeSocket`.
       std::this_thread::sleep_for(SettleTime);
       impl::closeSocket(Socket);
+      Socket = NNG_SOCKET_INITIALIZER;
     }
   }
 
@@ -221,6 +230,9 @@
 
   void setPeers(const std::vector<mesh_peer> &Peers) {
     const std::lock_guard PeersLock(PeersMutex);
+    if (Stopping) {
+      return;
+    }
     link_map Next;
     // Replaced links close after the lock is released, because closing waits
     // for a running nng callback.
@@ -286,6 +298,8 @@
   State->Context.Incarnation = Incarnation;
 }
 
+void peer_mesh::stop() { State->stop(); }
+
 void peer_mesh::setPeers(const std::vector<mesh_peer> &Peers) {
   State->setPeers(Peers);
 }
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -90,6 +90,12 @@
   /// present one has ended.
   void setIncarnation(incarnation Incarnation) noexcept;
 
+  /// Ends all connections. When it returns, the receiver does not run any more,
+  /// and later calls of `send` find no peer, so that what sends through this
+  /// mesh and what receives from it can end after it in any order. Must not be
+  /// called from the receiver or from two threads at once.
+  void stop();
+
   /// Replaces the set of peers; this node itself is left out. Dialers of peers
   /// that stay under the same address keep their connection and queue. Frames
   /// of senders outside this set are still received, because a joining node is
--- a/tests/net/test_peer_mesh.cpp
+++ b/tests/net/test_peer_mesh.cpp
@@ -344,6 +344,11 @@
   CHECK(eventually([&] { return monotonic_clock::now() - Before > 2s; }));
   const auto Count = Last.count();
   CHECK(eventually([&] { return Last.count() > Count; }));
+  // Senders may outlive the connections.
+  Sender.Mesh->stop();
+  Sender.dial({{2, &Last}});
+  CHECK(Sender.Mesh->send(node_id{2}, message_kind::Raft, "x") ==
+        send_outcome::UnknownPeer);
   Stop = true;
   Traffic.join();
 }
