Appoint grantors for one life of a node; use the shared address order

Cause: a grantor process that restarts within a second took up its old epoch without knowing what it had granted. Ruled out: ignoring epochs seen at start, which also ignores a fresh appointment that arrives with the first configuration. Change: the log's assignment names the incarnation; a later life does not act for it and the leader appoints anew. Placement and address order now use the pure modules of their own.

--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -1,11 +1,8 @@
 #include "control/leader_duties.h"
 
 #include "base/codec.h"
-#include "base/digest.h"
 #include "base/log.h"
-#include <fmt/format.h>
 
-#include <algorithm>
 #include <set>
 
 namespace arbutus::control {
@@ -22,32 +19,6 @@
 constexpr duration PlacementDelay = 700ms;
 constexpr duration ExpireInterval = 30s;
 
-/// The live router with the highest hash for this pool (rendezvous hashing).
-std::optional<node_id> bestRouter(pool_id Pool,
-                                  const std::vector<live_node> &Nodes) {
-  std::optional<node_id> Best;
-  std::uint64_t BestHash = 0;
-  for (const auto &Node : Nodes) {
-    if (!Node.Info.Router || Node.Suspected || Node.Leaving) {
-      continue;
-    }
-    const std::uint64_t Hash =
-        hash64(fmt::format("{}/{}", number(Pool), number(Node.Info.Node)));
-    if (!Best || Hash > BestHash) {
-      Best = Node.Info.Node;
-      BestHash = Hash;
-    }
-  }
-  return Best;
-}
-
-bool isWorkingRouter(node_id Node, const std::vector<live_node> &Nodes) {
-  return std::any_of(Nodes.begin(), Nodes.end(), [&](const live_node &Live) {
-    return Live.Info.Node == Node && Live.Info.Router && !Live.Suspected &&
-           !Live.Leaving;
-  });
-}
-
 } // namespace
 
 void leader_duties::onHeartbeat(node_id From, incarnation Incarnation,
@@ -165,23 +136,39 @@
 
 void leader_duties::placePools(const store::state_machine &Store,
                                std::vector<store::command> &Commands) {
-  const auto Nodes = Sessions.liveNodes();
-  for (const auto &Object : Store.list(store::resource_kind::Pool)) {
+  std::vector<grantor_assignment> Assignments;
+  std::map<pool_id, const store::resource *> Objects;
+  const auto List = Store.list(store::resource_kind::Pool);
+  for (const auto &Object : List) {
     const auto *Pool = Object->as<store::pool>();
-    if (isWorkingRouter(Pool->Grantor, Nodes)) {
-      continue;
+    grantor_assignment Assignment;
+    Assignment.Pool = pool_id{Object->Number};
+    if (number(Pool->Grantor) != 0) {
+      Assignment.Grantor = Pool->Grantor;
+      Assignment.Incarnation = Pool->Incarnation;
     }
-    const auto Next = bestRouter(pool_id{Object->Number}, Nodes);
-    if (!Next) {
-      continue;
+    Assignments.push_back(Assignment);
+    Objects[Assignment.Pool] = Object.get();
+  }
+  std::set<std::string> DomainsOut;
+  for (const auto &Object : Store.list(store::resource_kind::FailureDomain)) {
+    if (Object->as<store::failure_domain>()->State ==
+        store::domain_state::Out) {
+      DomainsOut.insert(Object->Name);
     }
+  }
+  for (const auto &Move :
+       placeGrantors(Assignments, Sessions.liveNodes(), DomainsOut)) {
+    const store::resource &Object = *Objects.at(Move.Pool);
+    const epoch Next{number(Object.as<store::pool>()->Epoch) + 1};
     logEvent(log_level::Info, "place_grantor",
-             {{"pool", Object->Name},
-              {"from", number(Pool->Grantor)},
-              {"to", number(*Next)},
-              {"epoch", number(Pool->Epoch) + 1}});
+             {{"pool", Object.Name},
+              {"from", Move.From ? number(*Move.From) : 0},
+              {"to", number(Move.To)},
+              {"epoch", number(Next)},
+              {"reason", nameOf(Move.Reason)}});
     Commands.push_back(store::makeCommand(store::assign_pool_command{
-        pool_id{Object->Number}, *Next, epoch{number(Pool->Epoch) + 1}}));
+        Move.Pool, Move.To, Next, Move.Incarnation}));
   }
 }
 
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_CONTROL_LEADER_DUTIES_H
 
 #include "control/config_pusher.h"
+#include "control/grantor_placement.h"
 #include "control/messages.h"
 #include "control/session_table.h"
 #include "net/message_kind.h"
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -246,7 +246,7 @@
   Context->Pools.configure(*View);
   Context->Retries.setPercent(
       static_cast<int>(View->policyValues().RetryBudgetPercent));
-  Pools.configure(View);
+  Pools.configure(View, Context->Incarnation.load());
   logEvent(log_level::Info, "config_in_force",
            {{"revision", number(Replica.currentRevision())}});
   heartbeat(); // tells the leader, and renews the lease
@@ -261,6 +261,9 @@
       {{"old", number(Context->Incarnation.load())}, {"new", number(Next)}});
   Context->Incarnation = Next;
   Context->Pools.setSession(Next);
+  if (View) {
+    Pools.configure(View, Next); // grantors of the old life end
+  }
   OnIncarnation(Next);
   heartbeat();
 }
--- a/src/control/pool_host.cpp
+++ b/src/control/pool_host.cpp
@@ -27,12 +27,14 @@
 }
 
 void pool_host::configure(
-    const std::shared_ptr<const store::config_view> &NewView) {
+    const std::shared_ptr<const store::config_view> &NewView,
+    incarnation Incarnation) {
   View = NewView;
   const instant Now = monotonic_clock::now();
   std::map<pool_id, std::unique_ptr<hosted_pool>> Next;
   for (const auto &Service : View->services()) {
-    if (Service.Grantor != Self || number(Service.Epoch) == 0) {
+    if (Service.Grantor != Self || number(Service.Epoch) == 0 ||
+        Service.GrantorIncarnation != Incarnation) {
       continue;
     }
     auto It = Pools.find(Service.Pool);
--- a/src/control/pool_host.h
+++ b/src/control/pool_host.h
@@ -25,8 +25,10 @@
   pool_host(const pool_host &) = delete;
   pool_host &operator=(const pool_host &) = delete;
 
-  /// Starts and stops grantors as the configuration assigns them.
-  void configure(const std::shared_ptr<const store::config_view> &View);
+  /// Starts and stops grantors as the configuration assigns them to this life
+  /// of the node.
+  void configure(const std::shared_ptr<const store::config_view> &View,
+                 incarnation Incarnation);
 
   /// Sets the sessions of routers.
   void setNodes(const std::vector<live_node> &Nodes);
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -42,14 +42,16 @@
   Exchange->respond(std::move(Answer));
 }
 
-void handleAddresses(router_context &Context, const exchange_ptr &Exchange) {
+void handleAddresses(router_context &Context, shard &Shard,
+                     const exchange_ptr &Exchange) {
   const auto State = Context.Routing.read([](const auto &S) { return S; });
   const auto &Request = Exchange->request();
   const std::string Region = net::queryValue(Request.Target, "region");
-  const address_query Query{net::headerOf(Request.Headers, "Authorization"),
+  // The key stands for the team, which need not be known here.
+  const caller_hints Caller{net::headerOf(Request.Headers, "Authorization"),
                             Request.RemoteAddress, Region};
   Exchange->respond(
-      jsonAnswer(200, addressAnswer(*State.Nodes, Query,
+      jsonAnswer(200, addressAnswer(*State.Nodes, Shard.Addresses, Caller,
                                     State.View->policyValues().AddressTtlMs)));
 }
 
@@ -182,7 +184,7 @@
   if (isServiceTarget(Path)) {
     handleServiceCall(Context, Shard, Exchange);
   } else if (Path == "/v1/addresses") {
-    handleAddresses(Context, Exchange);
+    handleAddresses(Context, Shard, Exchange);
   } else if (Path == "/healthz") {
     handleHealth(Context, Exchange);
   } else if (Path == "/metrics") {
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -120,8 +120,10 @@
   pool_id Pool{};
   node_id Grantor{};
   epoch Epoch{};
+  /// Life of the node that is appointed; a restarted node is appointed anew.
+  incarnation Incarnation{};
 
-  MSGPACK_DEFINE(Pool, Grantor, Epoch)
+  MSGPACK_DEFINE(Pool, Grantor, Epoch, Incarnation)
 };
 
 /// Advances log time to `LeaderTimeMs` and drops what has expired.
--- a/src/store/config_view.cpp
+++ b/src/store/config_view.cpp
@@ -122,6 +122,7 @@
     const auto Pool = Replica.find({resource_kind::Pool, Object->Name});
     if (Pool && Pool->Number == Object->Number) {
       Entry.Grantor = Pool->as<pool>()->Grantor;
+      Entry.GrantorIncarnation = Pool->as<pool>()->Incarnation;
       Entry.Epoch = Pool->as<pool>()->Epoch;
     }
     ServiceOfName.emplace(Entry.Name, Slot);
--- a/src/store/config_view.h
+++ b/src/store/config_view.h
@@ -45,6 +45,7 @@
   const service *Spec = nullptr;
   /// Node that grants slots, 0 while none is assigned, and its epoch.
   node_id Grantor{};
+  incarnation GrantorIncarnation{};
   epoch Epoch{};
   /// Upstreams ordered by number, usable or not.
   std::vector<pool_member> Members;
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -209,7 +209,7 @@
     }
     return outcomeOf(
         outcome_code::Ok,
-        Resources.put(Current->Name, {pool{Assign.Grantor, Assign.Epoch}}));
+        Resources.put(Current->Name, {pool{Assign.Grantor, Assign.Epoch, Assign.Incarnation}}));
   }
   command_outcome run(const expire_command &Expire) {
     auto Outcome = outcomeOf(outcome_code::Ok);
--- a/tests/router/test_request_policy.cpp
+++ b/tests/router/test_request_policy.cpp
@@ -155,13 +155,14 @@
     Node.Leaving = I == 12;
     Nodes.push_back(Node);
   }
+  address_order Order(0);
   std::map<std::string, int> First;
   constexpr int Callers = 10'000;
   for (int I = 0; I < Callers; ++I) {
     const std::string Team = "team-" + std::to_string(I % 16);
     const std::string Client = "10.0.0." + std::to_string(I);
-    const auto Json =
-        nlohmann::json::parse(addressAnswer(Nodes, {Team, Client, ""}, 2000));
+    const auto Json = nlohmann::json::parse(
+        addressAnswer(Nodes, Order, {Team, Client, ""}, 2000));
     REQUIRE(Json["addresses"].size() == 10);
     ++First[Json["addresses"][0]["address"].get<std::string>()];
   }
--- a/tests/store/naive_store.h
+++ b/tests/store/naive_store.h
@@ -311,7 +311,7 @@
         if (Assign.Epoch <= Pool.Epoch) {
           return withObject(outcome_code::StaleEpoch, Object);
         }
-        Pool = {Assign.Grantor, Assign.Epoch};
+        Pool = {Assign.Grantor, Assign.Epoch, Assign.Incarnation};
         ++Object.Version;
         return withObject(outcome_code::Ok, Object);
       }
