--- a/tests/store/test_config.cpp
+++ b/tests/store/test_config.cpp
@@ -170,6 +170,33 @@
   CHECK(Replica.apply(Second).value());
 }
 
+// Guards against a replica that is stuck in the middle of a list that the new
+// leader does not have.
+TEST_CASE("a list that another leader began is started again") {
+  // A list of 20 teams takes more than one part of this size.
+  constexpr std::size_t MaxBytes = 300;
+  session Session;
+  changeTeams(Session, 20, 501);
+  config_source First;
+  config_source Second;
+  config_replica Replica;
+  const auto Begun = First.makeUpdate(Session.Store, revision{0}, MaxBytes);
+  REQUIRE(Begun.Full);
+  REQUIRE_FALSE(Replica.apply(Begun).value());
+  changeTeams(Session, 20, 1);
+  REQUIRE(Second.makeUpdate(Session.Store, revision{0}, MaxBytes).Full);
+  int Updates = 0;
+  while (Replica.currentRevision() != Session.Store.currentRevision() &&
+         ++Updates < 100) {
+    REQUIRE(Replica
+                .apply(Second.makeUpdate(Session.Store, Replica.position(),
+                                         MaxBytes))
+                .has_value());
+  }
+  CHECK(Replica.currentRevision() == Session.Store.currentRevision());
+  CHECK(sameObjects(Replica.objects(), objectsOf(Session.Store)));
+}
+
 // Guards against updates above the limit of a message.
 TEST_CASE("updates stay within the requested size") {
   session Session;
