--- /dev/null
+++ b/src/pool/fair_queue.h
@@ -0,0 +1,67 @@
+#ifndef ARBUTUS_POOL_FAIR_QUEUE_H
+#define ARBUTUS_POOL_FAIR_QUEUE_H
+
+#include "base/ids.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace arbutus::pool {
+
+/// Weighted fair order of teams by virtual time: cost served divided by the
+/// team's weight.
+class fair_queue {
+public:
+  /// Sets the weight of a team; weights that are not positive count as 1.
+  void setWeight(team_id Team, double Weight);
+
+  /// Charges a cost; a negative one corrects an estimate that was too high.
+  void charge(team_id Team, double Cost);
+
+  /// Marks a team as backlogged or idle. A team that turns backlogged is
+  /// raised to the least virtual time of the backlogged teams, so that it
+  /// gains no credit for its absence, unless `Raise` is false: on takeover the
+  /// backlogged teams keep their distances whatever the order of the calls.
+  void setBacklogged(team_id Team, bool Backlogged, bool Raise = true);
+
+  /// Starts a busy period: what teams used while nobody waited is forgotten.
+  void equalize();
+
+  /// Raises every team, known or not yet, to at least this virtual time.
+  void raiseAll(double VirtualTime);
+
+  /// Greatest value that the least virtual time of backlogged teams has had.
+  [[nodiscard]] double systemTime() const noexcept;
+
+  /// Returns the backlogged team with the least virtual time among those for
+  /// which `Eligible` is true. Ties go to the lower team number.
+  [[nodiscard]] std::optional<team_id>
+  pick(const std::function<bool(team_id)> &Eligible) const;
+
+  [[nodiscard]] double virtualTime(team_id Team) const;
+  [[nodiscard]] double weight(team_id Team) const;
+  [[nodiscard]] bool anyBacklogged() const noexcept { return !Ranking.empty(); }
+
+private:
+  struct team_state {
+    double Weight = 1;
+    double VirtualTime = 0;
+    bool Backlogged = false;
+  };
+
+  team_state &stateOf(team_id Team);
+  void move(team_id Team, team_state &State, double VirtualTime);
+
+  std::map<team_id, team_state> Teams;
+  /// Backlogged teams by virtual time, so that a pick does not scan all teams.
+  std::set<std::pair<double, team_id>> Ranking;
+  /// Virtual time at which a team that is not known yet starts.
+  double Floor = 0;
+};
+
+} // namespace arbutus::pool
+
+#endif
