--- a/src/consensus/raft_state.h
+++ b/src/consensus/raft_state.h
@@ -30,6 +30,10 @@
   disk_id Disk{};          ///< data directory that `Match` refers to
   bool Probing = true;     ///< where the logs match is not known yet
   std::size_t InFlight = 0;
+  /// When probing or sending ahead began. Answers to what was sent before do
+  /// not change the mode; otherwise reordered messages cause a storm in which
+  /// every refusal sends all entries again.
+  instant ModeSince{};
   instant HeardAt{};
   std::optional<instant> AckedSentAt; ///< send time of the newest answered one
   std::optional<snapshot_transfer> Transfer;
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -229,7 +229,11 @@
     return;
   }
   if (Reply.Accepted) {
-    memberHolds(State, Message.from(), *Member, Reply.Index);
+    memberHolds(State, Message.from(), *Member, Reply.Index,
+                instantFromMicros(Reply.EchoSentAt));
+    return;
+  }
+  if (instantFromMicros(Reply.EchoSentAt) < Member->ModeSince) {
     return;
   }
   const auto Next =
@@ -237,6 +241,7 @@
   const bool Changed = Next != Member->Next || !Member->Probing;
   Member->Next = Next;
   Member->Probing = true;
+  Member->ModeSince = State.Now;
   Member->InFlight = 0;
   // A refusal that brings nothing new is late or repeated; the next heartbeat
   // probes again.
@@ -266,16 +271,22 @@
 }
 
 void memberHolds(raft_state &State, node_id Node, progress &Member,
-                 std::uint64_t Index) {
+                 std::uint64_t Index, instant SentAt) {
   if (Index > State.Log.lastIndex()) {
     return;
   }
-  Member.Probing = false;
   Member.Match = std::max(Member.Match, Index);
   Member.Next = std::max(Member.Next, Member.Match + 1);
-  Member.InFlight = Member.Match + 1 == Member.Next || Member.InFlight == 0
-                        ? 0
-                        : Member.InFlight - 1;
+  if (SentAt >= Member.ModeSince) {
+    if (Member.Probing) {
+      Member.Probing = false;
+      Member.ModeSince = State.Now;
+    }
+    Member.InFlight -= Member.InFlight > 0 ? 1 : 0;
+  }
+  if (Member.Match + 1 == Member.Next) {
+    Member.InFlight = 0;
+  }
   sendPipelined(State, Node, Member);
   advanceCommit(State);
 }
--- a/src/consensus/replication.h
+++ b/src/consensus/replication.h
@@ -41,9 +41,10 @@
 [[nodiscard]] progress *heardMember(raft_state &State, const message &Message,
                                     disk_id Disk, std::int64_t EchoSentAt);
 
-/// Records that a member holds the entries up to `Index` and sends it more.
+/// Records that a member holds the entries up to `Index`, as it answered to
+/// what was sent at `SentAt`, and sends it more.
 void memberHolds(raft_state &State, node_id Node, progress &Member,
-                 std::uint64_t Index);
+                 std::uint64_t Index, instant SentAt);
 
 } // namespace arbutus::consensus::impl
 
--- a/src/consensus/snapshot_transfer.cpp
+++ b/src/consensus/snapshot_transfer.cpp
@@ -120,7 +120,8 @@
       Member->Next = std::max(Member->Match, Reply.Index) + 1;
       Member->InFlight = 0;
     }
-    memberHolds(State, Message.from(), *Member, Reply.Index);
+    memberHolds(State, Message.from(), *Member, Reply.Index,
+                instantFromMicros(Reply.EchoSentAt));
     return;
   }
   auto &Transfer = Member->Transfer;
--- a/src/storage/durable_log.cpp
+++ b/src/storage/durable_log.cpp
@@ -81,6 +81,7 @@
                          "log or hard state without an identity file", 0};
   }
   BOOST_OUTCOME_TRY(Log.clear());
+  BOOST_OUTCOME_TRY(Log.beginSegment(1));
   auto Disk = Options.FreshDisk;
   if (Options.Bootstrap) {
     Disk = consensus::BootstrapDisk;
@@ -130,6 +131,10 @@
     return storage_error{storage_errc::Corrupt, Directory + "/" + LogName,
                          std::move(Detail), 0};
   };
+  // A segment is created with the directory and goes only for a snapshot.
+  if (Log.endIndex() == 0 && SnapshotIndex == 0) {
+    return Corrupt("no segment");
+  }
   if (Entries.empty()) {
     return Log.endIndex() == SnapshotIndex + 1;
   }
--- a/src/storage/segment_log.cpp
+++ b/src/storage/segment_log.cpp
@@ -42,6 +42,18 @@
       [](std::uint64_t Sum, const segment &S) { return Sum + S.Size; });
 }
 
+storage_result<void> segment_log::beginSegment(std::uint64_t FirstIndex) {
+  BOOST_OUTCOME_TRY(sync());
+  BOOST_OUTCOME_TRY(File,
+                    open_file::open(*Files, path(FirstIndex),
+                                    O_WRONLY | O_CREAT | O_TRUNC | O_APPEND));
+  Last = std::move(File);
+  BOOST_OUTCOME_TRY(syncDirectory(*Files, Directory));
+  Segments.push_back({FirstIndex, 0, {}});
+  SyncedSize = 0;
+  return outcome::success();
+}
+
 storage_result<void>
 segment_log::append(const std::vector<consensus::log_entry> &Entries) {
   std::string Bytes;
@@ -159,18 +171,6 @@
   return outcome::success();
 }
 
-storage_result<void> segment_log::beginSegment(std::uint64_t FirstIndex) {
-  BOOST_OUTCOME_TRY(sync());
-  BOOST_OUTCOME_TRY(File,
-                    open_file::open(*Files, path(FirstIndex),
-                                    O_WRONLY | O_CREAT | O_TRUNC | O_APPEND));
-  Last = std::move(File);
-  BOOST_OUTCOME_TRY(syncDirectory(*Files, Directory));
-  Segments.push_back({FirstIndex, 0, {}});
-  SyncedSize = 0;
-  return outcome::success();
-}
-
 storage_result<void> segment_log::openLast() {
   BOOST_OUTCOME_TRY(File,
                     open_file::open(*Files, path(Segments.back().FirstIndex),
--- a/src/storage/segment_log.h
+++ b/src/storage/segment_log.h
@@ -51,6 +51,9 @@
   }
   [[nodiscard]] std::uint64_t bytes() const noexcept;
 
+  /// Syncs the last segment and creates the next one.
+  [[nodiscard]] storage_result<void> beginSegment(std::uint64_t FirstIndex);
+
   /// Appends entries without a sync.
   [[nodiscard]] storage_result<void>
   append(const std::vector<consensus::log_entry> &Entries);
@@ -74,7 +77,6 @@
   readSegment(const std::string &Name, bool Last,
               std::vector<consensus::log_entry> &Entries,
               std::uint64_t &TornBytes);
-  [[nodiscard]] storage_result<void> beginSegment(std::uint64_t FirstIndex);
   [[nodiscard]] storage_result<void> openLast();
   [[nodiscard]] storage_result<void> removeLast();
 
--- a/tests/consensus/explorer.h
+++ b/tests/consensus/explorer.h
@@ -24,7 +24,8 @@
 /// Rates per 1000 at which each fault begins in one step of simulated time.
 struct fault_rates {
   std::uint32_t Crash = 0;
-  std::uint32_t PowerLoss = 0; ///< all nodes at once
+  std::uint32_t LeaderLoss = 0; ///< crash or cut of whoever leads
+  std::uint32_t PowerLoss = 0;  ///< all nodes at once
   std::uint32_t Freeze = 0;
   std::uint32_t Cut = 0;
   std::uint32_t Wipe = 0;
@@ -32,6 +33,7 @@
   std::uint32_t Change = 0;
   std::uint32_t Snapshot = 0;
   std::uint32_t Propose = 0;
+  std::uint32_t End = 0; ///< of a fault of one node
 };
 
 /// Runs one schedule of faults that is drawn from a seed.
@@ -90,6 +92,8 @@
   fault_rates drawRates() {
     fault_rates Drawn;
     Drawn.Crash = maybeUpTo(15);
+    Drawn.LeaderLoss = maybeUpTo(60);
+    Drawn.End = 10 + upTo(90);
     Drawn.PowerLoss = maybeUpTo(3);
     Drawn.Freeze = maybeUpTo(10);
     Drawn.Cut = maybeUpTo(10);
@@ -111,6 +115,7 @@
     Drawn.MaxSyncMillis = upTo(1) == 0 ? 2 : upTo(100);
     Drawn.ClockSpread = upTo(1) == 0 ? 0 : 0.1;
     Drawn.Trailing = upTo(5);
+    Drawn.AppendEntries = upTo(1) == 0 ? 1 : 8;
     return Drawn;
   }
 
@@ -132,6 +137,7 @@
       ++Result.Crashes;
       Cluster.crash(Node);
     }
+    loseLeader();
     if (Cluster.happens(Rates.PowerLoss)) {
       for (auto &[Id, Each] : Cluster.Nodes) {
         if (Each.Raft) {
@@ -156,10 +162,22 @@
     endFaults();
   }
 
+  void loseLeader() {
+    auto *Leader = Cluster.leader();
+    if (Leader == nullptr || !Cluster.happens(Rates.LeaderLoss)) {
+      return;
+    }
+    if (Cluster.happens(500)) {
+      ++Result.Crashes;
+      Cluster.crash(*Leader);
+    } else {
+      Leader->Cut = true;
+    }
+  }
+
   void endFaults() {
-    constexpr std::uint32_t EndRate = 40; // a fault of one node lasts 0.5 s
     auto &Node = anyNode();
-    if (!Cluster.happens(EndRate)) {
+    if (!Cluster.happens(Rates.End)) {
       return;
     }
     Node.Cut = false;
--- a/tests/consensus/fake_cluster.h
+++ b/tests/consensus/fake_cluster.h
@@ -44,6 +44,7 @@
   std::uint64_t MaxSyncMillis = 2;
   double ClockSpread = 0; ///< clocks run up to this part too fast or slow
   std::uint64_t Trailing = 5;
+  std::size_t AppendEntries = 8; ///< in one message
 };
 
 /// Nodes with a network and disks in memory and in simulated time. Everything
@@ -197,7 +198,7 @@
     Settings.Self = Node.Id;
     Settings.Disk = Node.Disk;
     Settings.ChunkBytes = 64;
-    Settings.AppendEntries = 8;
+    Settings.AppendEntries = Options.AppendEntries;
     Settings.Trailing = Options.Trailing;
     Node.Applied = Node.Digest = 0;
     if (const auto &Snapshot = Node.Files.Durable.Snapshot) {
@@ -361,6 +362,12 @@
     }
   }
 
+  [[nodiscard]] static std::string describe(const log_entry &Entry) {
+    return Entry.Kind == entry_kind::Empty    ? "empty"
+           : Entry.Kind == entry_kind::Voters ? "voters"
+                                              : Entry.Payload;
+  }
+
   void restore(fake_node &Node, const snapshot &Snapshot) {
     trace(Node, "restores snapshot " + std::to_string(Snapshot.Meta.Index));
     Node.Applied = Snapshot.Meta.Index;
@@ -376,10 +383,8 @@
     Node.Applied = Entry.Index;
     Node.Digest =
         Checks.applied(Entry, Node.Digest, Node.Raft->currentStatus().Term);
-    trace(Node,
-          "applies " + std::to_string(Entry.Index) + " term " +
-              std::to_string(Entry.Term) + " " +
-              (Entry.Kind == entry_kind::Voters ? "voters" : Entry.Payload));
+    trace(Node, "applies " + std::to_string(Entry.Index) + " term " +
+                    std::to_string(Entry.Term) + " " + describe(Entry));
     while (!Node.Accepted.empty() &&
            Node.Accepted.front().LastIndex <= Entry.Index) {
       const auto Range = Node.Accepted.front();
