Draw more changes of members in the schedules

Cause: with more losses of leaders, 300 schedules made 213 changes of members, below the test's floor of one a schedule. Change: the explorer draws changes at up to 150 per 1000 steps instead of 40. Figures: build/test_consensus: 493 assertions in 23 test cases pass. Conclusion: the floor stays as it was.

--- a/tests/consensus/explorer.h
+++ b/tests/consensus/explorer.h
@@ -99,7 +99,7 @@
     Drawn.Cut = maybeUpTo(10);
     Drawn.Wipe = upTo(3) == 0 ? upTo(3) : 0;
     Drawn.StorageFailure = maybeUpTo(3);
-    Drawn.Change = maybeUpTo(40);
+    Drawn.Change = maybeUpTo(150);
     Drawn.Snapshot = maybeUpTo(30);
     Drawn.Propose = 20 + upTo(150);
     return Drawn;
