--- a/tests/consensus/fake_cluster.h
+++ b/tests/consensus/fake_cluster.h
@@ -44,6 +44,7 @@
   std::uint64_t MaxSyncMillis = 2;
   double ClockSpread = 0; ///< clocks run up to this part too fast or slow
   std::uint64_t Trailing = 5;
+  std::size_t AppendEntries = 8; ///< in one message
 };
 
 /// Nodes with a network and disks in memory and in simulated time. Everything
@@ -148,6 +149,11 @@
     if (Accepted) {
       trace(Node, "accepts " + std::to_string(Accepted->FirstIndex) + ".." +
                       std::to_string(Accepted->LastIndex));
+      // Earlier proposals that would stand here were lost in a change of
+      // leader.
+      std::erase_if(Node.Accepted, [&](const accepted_range &Range) {
+        return Range.LastIndex >= Accepted->FirstIndex;
+      });
       Node.Accepted.push_back(*Accepted);
     }
   }
@@ -197,7 +203,7 @@
     Settings.Self = Node.Id;
     Settings.Disk = Node.Disk;
     Settings.ChunkBytes = 64;
-    Settings.AppendEntries = 8;
+    Settings.AppendEntries = Options.AppendEntries;
     Settings.Trailing = Options.Trailing;
     Node.Applied = Node.Digest = 0;
     if (const auto &Snapshot = Node.Files.Durable.Snapshot) {
@@ -361,6 +367,12 @@
     }
   }
 
+  [[nodiscard]] static std::string describe(const log_entry &Entry) {
+    return Entry.Kind == entry_kind::Empty    ? "empty"
+           : Entry.Kind == entry_kind::Voters ? "voters"
+                                              : Entry.Payload;
+  }
+
   void restore(fake_node &Node, const snapshot &Snapshot) {
     trace(Node, "restores snapshot " + std::to_string(Snapshot.Meta.Index));
     Node.Applied = Snapshot.Meta.Index;
@@ -376,10 +388,8 @@
     Node.Applied = Entry.Index;
     Node.Digest =
         Checks.applied(Entry, Node.Digest, Node.Raft->currentStatus().Term);
-    trace(Node,
-          "applies " + std::to_string(Entry.Index) + " term " +
-              std::to_string(Entry.Term) + " " +
-              (Entry.Kind == entry_kind::Voters ? "voters" : Entry.Payload));
+    trace(Node, "applies " + std::to_string(Entry.Index) + " term " +
+                    std::to_string(Entry.Term) + " " + describe(Entry));
     while (!Node.Accepted.empty() &&
            Node.Accepted.front().LastIndex <= Entry.Index) {
       const auto Range = Node.Accepted.front();
