--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -209,7 +209,8 @@
     }
     return outcomeOf(
         outcome_code::Ok,
-        Resources.put(Current->Name, {pool{Assign.Grantor, Assign.Epoch, Assign.Incarnation}}));
+        Resources.put(Current->Name, {pool{Assign.Grantor, Assign.Epoch,
+                                           Assign.Incarnation}}));
   }
   command_outcome run(const expire_command &Expire) {
     auto Outcome = outcomeOf(outcome_code::Ok);
