--- /dev/null
+++ b/src/control/leader_duties.cpp
@@ -0,0 +1,204 @@
+#include "control/leader_duties.h"
+
+#include "base/codec.h"
+#include "base/log.h"
+
+#include <set>
+
+namespace arbutus::control {
+
+namespace {
+
+/// A node heard within this time is known to a new leader.
+constexpr duration RememberHeard = 10s;
+/// After this time of a term, a claim owner without a session has lost it: a
+/// full lease and the margin have passed.
+constexpr duration OrphanAge = 3500ms;
+constexpr duration PlacementInterval = 100ms;
+/// A new leader waits for heartbeats before it moves a grantor.
+constexpr duration PlacementDelay = 700ms;
+constexpr duration ExpireInterval = 30s;
+
+} // namespace
+
+void leader_duties::onHeartbeat(node_id From, incarnation Incarnation,
+                                const heartbeat_message &Heartbeat,
+                                std::optional<node_id> Leader, bool Leading,
+                                const store::state_machine &Store,
+                                instant Now) {
+  live_node Node = fromWire(Heartbeat.Self);
+  Node.Info.Node = From;
+  Heard[From] = {known_node{Node.Info, Incarnation, {}, Node.Leaving}, Now};
+  heartbeat_reply_message Reply;
+  Reply.LeaderHint = Leader ? number(*Leader) : 0;
+  Reply.SendTime = Heartbeat.SendTime;
+  if (!Leading || Term == 0) {
+    Send(From, net::message_kind::HeartbeatReply, encode(Reply));
+    return;
+  }
+  heartbeat Beat;
+  Beat.Info = Node.Info;
+  Beat.Incarnation = Incarnation;
+  Beat.Applied = Heartbeat.Position.Revision;
+  Beat.SendTime = Heartbeat.SendTime;
+  Beat.Leaving = Node.Leaving;
+  const lease_answer Lease = Sessions.onHeartbeat(Beat, Now);
+  Reply.Leader = true;
+  Reply.Term = Term;
+  Reply.Committed = number(Store.currentRevision());
+  Reply.Closed = number(Lease.Closed);
+  if (Lease.Outcome == lease_outcome::Granted) {
+    Config.onPosition(From, Heartbeat.Position, Now);
+    if (Config.currentEnough(Beat.Applied, Store, Now)) {
+      Reply.LeaseMicros = toMicros(Lease.Lease);
+    }
+  }
+  Reply.NodesVersion = Sessions.liveVersion();
+  if (Heartbeat.NodesTerm != Term ||
+      Heartbeat.NodesVersion != Reply.NodesVersion) {
+    Reply.HasNodes = true;
+    for (const auto &Live : Sessions.liveNodes()) {
+      Reply.Nodes.push_back(toWire(Live));
+    }
+  }
+  Send(From, net::message_kind::HeartbeatReply, encode(Reply));
+}
+
+std::vector<store::command>
+leader_duties::tick(std::uint64_t NewTerm, const store::state_machine &Store,
+                    instant Now) {
+  std::vector<store::command> Commands;
+  if (NewTerm != Term) {
+    begin(NewTerm, Now);
+  }
+  takeEvents(Commands, Now);
+  if (Sessions.liveVersion() != SentVersion) {
+    SentVersion = Sessions.liveVersion();
+    for (const auto &Node : Sessions.liveNodes()) {
+      sendNodes(Node.Info.Node, Store);
+    }
+  }
+  for (const auto &[Node, Update] : Config.makeUpdates(Store, Now)) {
+    Send(Node, net::message_kind::ConfigUpdate, encode(Update));
+  }
+  if (Now >= TermStart + PlacementDelay &&
+      Now >= LastPlacement + PlacementInterval) {
+    LastPlacement = Now;
+    placePools(Store, Commands);
+  }
+  if (!OrphansAbandoned && Now >= TermStart + OrphanAge) {
+    OrphansAbandoned = true;
+    abandonOrphans(Store, Commands);
+  }
+  if (Now >= LastExpire + ExpireInterval) {
+    LastExpire = Now;
+    Commands.push_back(
+        store::makeCommand(store::expire_command{wallClockMillis()}));
+  }
+  return Commands;
+}
+
+void leader_duties::begin(std::uint64_t NewTerm, instant Now) {
+  Term = NewTerm;
+  TermStart = Now;
+  SentVersion = 0;
+  OrphansAbandoned = false;
+  LastExpire = Now;
+  Config.reset();
+  std::vector<known_node> Known;
+  for (const auto &[Node, Entry] : Heard) {
+    if (Entry.At + RememberHeard >= Now) {
+      Known.push_back(Entry.Known);
+    }
+  }
+  Sessions.startTerm(Known, Now);
+  logEvent(log_level::Info, "leading",
+           {{"term", Term}, {"known_nodes", Known.size()}});
+}
+
+void leader_duties::takeEvents(std::vector<store::command> &Commands,
+                               instant Now) {
+  for (const auto &Event : Sessions.tick(Now)) {
+    logEvent(log_level::Info, "session",
+             {{"change", nameOf(Event.Kind)},
+              {"peer", number(Event.Node)},
+              {"incarnation", number(Event.Incarnation)}});
+    if (Event.Kind == session_event_kind::Ended) {
+      Config.remove(Event.Node);
+    }
+    if (Event.Kind == session_event_kind::Ended ||
+        Event.Kind == session_event_kind::Restarted) {
+      Commands.push_back(store::makeCommand(
+          store::abandon_command{Event.Node, Event.Incarnation}));
+    }
+  }
+}
+
+void leader_duties::placePools(const store::state_machine &Store,
+                               std::vector<store::command> &Commands) {
+  std::vector<grantor_assignment> Assignments;
+  std::map<pool_id, const store::resource *> Objects;
+  const auto List = Store.list(store::resource_kind::Pool);
+  for (const auto &Object : List) {
+    const auto *Pool = Object->as<store::pool>();
+    grantor_assignment Assignment;
+    Assignment.Pool = pool_id{Object->Number};
+    if (number(Pool->Grantor) != 0) {
+      Assignment.Grantor = Pool->Grantor;
+      Assignment.Incarnation = Pool->Incarnation;
+    }
+    Assignments.push_back(Assignment);
+    Objects[Assignment.Pool] = Object.get();
+  }
+  std::set<std::string> DomainsOut;
+  for (const auto &Object : Store.list(store::resource_kind::FailureDomain)) {
+    if (Object->as<store::failure_domain>()->State ==
+        store::domain_state::Out) {
+      DomainsOut.insert(Object->Name);
+    }
+  }
+  for (const auto &Move :
+       placeGrantors(Assignments, Sessions.liveNodes(), DomainsOut)) {
+    const store::resource &Object = *Objects.at(Move.Pool);
+    const epoch Next{number(Object.as<store::pool>()->Epoch) + 1};
+    logEvent(log_level::Info, "place_grantor",
+             {{"pool", Object.Name},
+              {"from", Move.From ? number(*Move.From) : 0},
+              {"to", number(Move.To)},
+              {"epoch", number(Next)},
+              {"reason", nameOf(Move.Reason)}});
+    Commands.push_back(store::makeCommand(store::assign_pool_command{
+        Move.Pool, Move.To, Next, Move.Incarnation}));
+  }
+}
+
+void leader_duties::abandonOrphans(const store::state_machine &Store,
+                                   std::vector<store::command> &Commands) {
+  std::map<node_id, incarnation> Live;
+  for (const auto &Node : Sessions.liveNodes()) {
+    Live[Node.Info.Node] = Node.Incarnation;
+  }
+  for (const auto &[Node, Incarnation] : Store.openOwners()) {
+    const auto It = Live.find(Node);
+    if (It == Live.end() || Incarnation < It->second) {
+      Commands.push_back(
+          store::makeCommand(store::abandon_command{Node, Incarnation}));
+    }
+  }
+}
+
+void leader_duties::sendNodes(node_id To, const store::state_machine &Store) {
+  heartbeat_reply_message Reply;
+  Reply.Leader = true;
+  Reply.LeaderHint = number(Self);
+  Reply.Term = Term;
+  Reply.Committed = number(Store.currentRevision());
+  Reply.HasNodes = true;
+  Reply.NodesVersion = Sessions.liveVersion();
+  for (const auto &Live : Sessions.liveNodes()) {
+    Reply.Nodes.push_back(toWire(Live));
+  }
+  Send(To, net::message_kind::HeartbeatReply, encode(Reply));
+}
+
+} // namespace arbutus::control
