Park freed slots while a grantor is silent; warm cold upstreams by requests

Cause: (1) slots freed after the loss of a grantor were returned to it and usable only after the end of its session: a contended pool stood still for 3.8 s. (2) Slow start grew by time alone and put more on a cold engine than it bears. (3) An engine that refused at once drew every request until its limit had fallen: 3712 errors in 24 s. (4) Log time came from the wall clock, so a jump could expire claims early; an entry of a newer format was skipped by one voter; faults found by parsing hid those found by the store. Change: routers keep freed slots parked while a report is unanswered for 100 ms and hand them to the next grantor; a cold upstream must complete warm_requests before its limit grows; refusals count for the joint breaker; log time goes on by the monotonic clock; such entries stop the voter.

--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -69,7 +69,7 @@
                     instant Now) {
   std::vector<store::command> Commands;
   if (NewTerm != Term) {
-    begin(NewTerm, Now);
+    begin(NewTerm, Store, Now);
   }
   takeEvents(Commands, Now);
   if (Sessions.liveVersion() != SentVersion) {
@@ -93,14 +93,21 @@
   if (Now >= LastExpire + ExpireInterval) {
     LastExpire = Now;
     Commands.push_back(
-        store::makeCommand(store::expire_command{wallClockMillis()}));
+        store::makeCommand(store::expire_command{logTimeMs(Now)}));
   }
   return Commands;
 }
 
-void leader_duties::begin(std::uint64_t NewTerm, instant Now) {
+std::int64_t leader_duties::logTimeMs(instant Now) const noexcept {
+  return TermStartLogMs + toMicros(Now - TermStart) / 1000;
+}
+
+void leader_duties::begin(std::uint64_t NewTerm,
+                          const store::state_machine &Store, instant Now) {
   Term = NewTerm;
   TermStart = Now;
+  TermStartLogMs =
+      Store.logTimeMs() != 0 ? Store.logTimeMs() : wallClockMillis();
   SentVersion = 0;
   OrphansAbandoned = false;
   LastExpire = Now;
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -37,6 +37,11 @@
   [[nodiscard]] std::vector<store::command>
   tick(std::uint64_t Term, const store::state_machine &Store, instant Now);
 
+  /// Time for log entries, in milliseconds since the Unix epoch. It goes on
+  /// from the log's own time by the monotonic clock, because a wall clock that
+  /// jumps ahead would expire claims early and let requests run twice.
+  [[nodiscard]] std::int64_t logTimeMs(instant Now) const noexcept;
+
   /// The term's duties end; nothing is sent until the next `tick`.
   void stop() noexcept { Term = 0; }
 
@@ -50,7 +55,8 @@
     instant At;
   };
 
-  void begin(std::uint64_t NewTerm, instant Now);
+  void begin(std::uint64_t NewTerm, const store::state_machine &Store,
+             instant Now);
   void takeEvents(std::vector<store::command> &Commands, instant Now);
   void placePools(const store::state_machine &Store,
                   std::vector<store::command> &Commands);
@@ -65,6 +71,7 @@
   std::map<node_id, heard_node> Heard;
   std::uint64_t Term = 0;
   instant TermStart;
+  std::int64_t TermStartLogMs = 0;
   std::uint64_t SentVersion = 0;
   instant LastPlacement;
   instant LastExpire;
--- a/src/control/pool_host.cpp
+++ b/src/control/pool_host.cpp
@@ -89,6 +89,7 @@
     Config.Ceiling = Member.Ceiling;
     Config.FirstLimit = Member.FirstLimit;
     Config.Growth = Member.Growth;
+    Config.WarmRequests = Member.WarmRequests;
     Config.Usable = Member.Usable;
     Config.FailureDomain = Member.FailureDomain;
     Upstreams.push_back(std::move(Config));
--- a/src/control/resource_api.cpp
+++ b/src/control/resource_api.cpp
@@ -132,7 +132,7 @@
 }
 
 api_plan planPut(const api_request_message &Call, const api_target &Target,
-                 store::resource_kind Kind) {
+                 store::resource_kind Kind, const store::state_machine &Store) {
   auto Json = nlohmann::json::parse(Call.Body, nullptr, false);
   if (!Json.is_object()) {
     return {std::nullopt,
@@ -144,7 +144,7 @@
   if (!Parsed.Errors.empty()) {
     store::command_outcome Outcome;
     Outcome.Code = store::outcome_code::Invalid;
-    Outcome.Errors = std::move(Parsed.Errors);
+    Outcome.Errors = store::allErrors(Parsed, Store);
     return {std::nullopt, answerOf(Outcome)};
   }
   return {store::makeCommand(std::move(Parsed.Put)), {}};
@@ -206,7 +206,7 @@
                                    "needed")};
   }
   if (Call.Method == "PUT") {
-    return planPut(Call, Target, *Kind);
+    return planPut(Call, Target, *Kind, Store);
   }
   if (Call.Method == "DELETE") {
     return planDelete(Call, Target, *Kind);
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -246,7 +246,7 @@
     const std::size_t End =
         std::min(Queue.size(), Start + MostCommandsPerEntry);
     store::batch Batch;
-    Batch.LeaderTimeMs = wallClockMillis();
+    Batch.LeaderTimeMs = Duties.logTimeMs(Now);
     proposed_entry Entry;
     for (; Start < End; ++Start) {
       Batch.Commands.push_back(std::move(Queue[Start].Command));
@@ -285,6 +285,9 @@
       }
       for (const auto &Entry : Output.Committed) {
         applyEntry(Entry);
+        if (Failed) {
+          return;
+        }
       }
     }
     if (Sequence != 0) {
@@ -319,6 +322,13 @@
   const auto It = Proposed.find(Entry.Index);
   if (Entry.Kind == consensus::entry_kind::Proposal) {
     const auto Result = Store.apply(Entry.Index, Entry.Payload);
+    if (Result.Status == store::apply_status::UnsupportedVersion) {
+      // Going on would leave a state that differs from the other voters'.
+      storageFailed({storage::storage_errc::Corrupt, "log",
+                     "an entry has a newer format than this program", 0},
+                    monotonic_clock::now());
+      return;
+    }
     if (It != Proposed.end() && It->second.Term == Entry.Term) {
       const auto &Sources = It->second.Sources;
       for (std::size_t I = 0;
--- a/src/pool/credit_account.cpp
+++ b/src/pool/credit_account.cpp
@@ -8,9 +8,8 @@
 namespace {
 
 /// A preferred upstream outweighs any difference in free share.
-constexpr double PreferenceWeight =
-    2; /// Reports whose charges are remembered; each later one repeats what an
-       /// earlier
+constexpr double PreferenceWeight = 2;
+/// Reports whose charges are remembered; each later one repeats what an earlier
 /// one told without an answer, so old ones may be forgotten.
 constexpr std::size_t MostUnseen = 64;
 
@@ -75,6 +74,12 @@
     return Out;
   }
   acknowledge(Grant.ReportSeen);
+  if (UnansweredSince) {
+    UnansweredSince = Grant.ReportSeen == Sequence
+                          ? std::nullopt
+                          : std::optional<instant>(Now);
+  }
+  returnParked();
   SystemTime = std::max(SystemTime, Grant.SystemTime);
   auto Number = Grant.First;
   for (const auto &Entry : Grant.Entries) {
@@ -150,6 +155,8 @@
   if (Keeps) {
     ++Upstream.Idle;
     useIdle(Now, Out);
+  } else if (grantorSilent(Now) && Usable.count(Request.Upstream) > 0) {
+    ++Upstream.Parked;
   }
   Urgent = Urgent || !Keeps;
   return Out;
@@ -176,7 +183,7 @@
 void credit_account::setSession(incarnation Incarnation) {
   Session = sessionOf(Incarnation);
   for (auto &[Id, Upstream] : Upstreams) {
-    Upstream.Idle = 0;
+    Upstream.Idle = Upstream.Parked = 0;
   }
   for (auto &[Id, Team] : Teams) {
     // The grantor keeps what the old session reported.
@@ -198,6 +205,10 @@
   for (auto &[Id, Upstream] : Upstreams) {
     if (Usable.count(Id) == 0) {
       returnIdle(Upstream);
+      if (Upstream.Parked > 0) {
+        Upstream.Parked = 0;
+        touch(Upstream.ChangedAt);
+      }
     }
   }
 }
@@ -244,7 +255,7 @@
   for (auto &[Id, Upstream] : Upstreams) {
     if (Report.Full || Upstream.ChangedAt > Acknowledged) {
       Upstream.Usage.Upstream = number(Id);
-      Upstream.Usage.Held = Upstream.Idle + Upstream.InFlight;
+      Upstream.Usage.Held = Upstream.Idle + Upstream.Parked + Upstream.InFlight;
       Report.Upstreams.push_back(Upstream.Usage);
     }
     if (Report.Full && Upstream.Known.Notice > 0) {
@@ -268,6 +279,12 @@
   if (Unseen.size() > MostUnseen) {
     Unseen.erase(Unseen.begin());
   }
+  // Reports without content are not acknowledged.
+  const bool Owed =
+      Report.Full || !Report.Upstreams.empty() || !Report.Teams.empty();
+  if (Owed && !UnansweredSince) {
+    UnansweredSince = Now;
+  }
   LastReport = Now;
   Urgent = false;
   AppliedReported = Applied;
@@ -325,6 +342,21 @@
   }
 }
 
+void credit_account::returnParked() {
+  for (auto &[Id, Upstream] : Upstreams) {
+    if (Upstream.Parked > 0) {
+      Upstream.Parked = 0;
+      touch(Upstream.ChangedAt);
+      Urgent = true;
+    }
+  }
+}
+
+bool credit_account::grantorSilent(instant Now) const {
+  return Contended && UnansweredSince &&
+         Now - *UnansweredSince > Options.GrantorSilence;
+}
+
 void credit_account::apply(const grant_entry &Entry, instant Now,
                            std::vector<dispatch> &Out) {
   const auto Id = static_cast<upstream_id>(Entry.Upstream);
@@ -423,6 +455,7 @@
   Sequence = Acknowledged = Applied = AppliedReported = 0;
   Contended = false;
   Urgent = true;
+  UnansweredSince.reset();
   Unseen.clear();
   for (auto &[Id, Upstream] : Upstreams) {
     Upstream.Keep = Upstream.Idle + Upstream.InFlight;
--- a/src/pool/credit_account.h
+++ b/src/pool/credit_account.h
@@ -60,6 +60,9 @@
   /// Delay after which applied entries are acknowledged even if nothing else
   /// is to be reported; below the grantor's time for resending.
   duration AckDelay = 20ms;
+  /// Age of an unanswered report after which freed slots are parked.
+  /// It is above the grantor's own delay of acknowledgements.
+  duration GrantorSilence = 100ms;
 };
 
 /// Router side of one pool: idle credits, requests in flight, a queue per team,
@@ -126,6 +129,10 @@
 private:
   struct upstream_state {
     std::uint32_t Idle = 0, InFlight = 0;
+    /// Slots freed while the grantor was silent. They stay held and unused, so
+    /// that the next grantor can grant them at once; a slot returned to a lost
+    /// grantor is usable only after the end of that node's session.
+    std::uint32_t Parked = 0;
     /// Held slots up to which a freed one stays while uncontended.
     std::uint32_t Keep = 0;
     known_limit Known;
@@ -155,6 +162,8 @@
   void touch(std::uint64_t &ChangedAt) const { ChangedAt = Sequence + 1; }
   void noteBacklog(team_id Id, team_state &Team);
   void returnIdle(upstream_state &Upstream);
+  void returnParked();
+  [[nodiscard]] bool grantorSilent(instant Now) const;
   void apply(const grant_entry &Entry, instant Now, std::vector<dispatch> &Out);
   void start(const pending_request &Request, upstream_id Upstream,
              std::vector<dispatch> &Out);
@@ -187,6 +196,8 @@
   /// Charges in reports that are not acknowledged, by sequence.
   std::map<std::uint64_t, std::vector<std::pair<team_id, double>>> Unseen;
   instant LastReport, AppliedAt;
+  /// When the oldest report that is owed an answer was made.
+  std::optional<instant> UnansweredSince;
   bool Urgent = true;
 };
 
--- a/src/pool/grantor.cpp
+++ b/src/pool/grantor.cpp
@@ -30,7 +30,8 @@
         });
   }
   for (const auto &Config : List) {
-    const limit_options Limit{Config.Ceiling, Config.FirstLimit, Config.Growth};
+    const limit_options Limit{Config.Ceiling, Config.FirstLimit, Config.Growth,
+                              Config.WarmRequests};
     const auto Found = Upstreams.find(Config.Upstream);
     if (Found == Upstreams.end()) {
       upstream_state State{Config, upstream_limit(Limit, Now),
@@ -243,6 +244,7 @@
                             const upstream_usage &After, instant Now) {
   const auto Limit = Upstream.Limit.limit();
   const auto State = Upstream.Breaker.state();
+  Upstream.Limit.onCompleted(After.Ok - Before.Ok);
   if (Upstream.Limit.onFirstTokens(
           After.FirstTokens - Before.FirstTokens,
           After.FirstTokenMillis - Before.FirstTokenMillis, Now)) {
@@ -251,8 +253,11 @@
     Upstream.Limit.onOverload(Now);
     noteLimit(Upstream, Limit, limit_cause::Overload);
   }
-  if (!Upstream.Breaker.record(After.Ok - Before.Ok,
-                               After.Failed - Before.Failed, Now)) {
+  // An upstream that refuses at once has free slots all the time and would
+  // draw every request, so refusals count as failures.
+  const auto Failed =
+      After.Failed - Before.Failed + After.Overloaded - Before.Overloaded;
+  if (!Upstream.Breaker.record(After.Ok - Before.Ok, Failed, Now)) {
     return;
   }
   noteBreaker(Upstream);
--- a/src/pool/grantor.h
+++ b/src/pool/grantor.h
@@ -30,6 +30,8 @@
   /// False while the upstream is leaving or its failure domain is out.
   bool Usable = true;
   std::string FailureDomain;
+  /// Requests that must complete before a cold upstream's limit grows.
+  std::uint32_t WarmRequests = 0;
 };
 
 struct grantor_options {
--- a/src/pool/upstream_limit.cpp
+++ b/src/pool/upstream_limit.cpp
@@ -50,6 +50,11 @@
   if (!Healthy || InUse * 2 < limit()) {
     return;
   }
+  // Time alone does not warm an engine; growing before it has completed some
+  // requests put more on it than it can bear.
+  if (SlowStart && Completed < Options.WarmRequests) {
+    return;
+  }
   const double Rate = Options.Growth * (SlowStart ? 1 : AdditiveShare);
   Limit = std::min<double>(Options.Ceiling, Limit + Rate * toSeconds(Step));
   SlowStart = SlowStart && Limit < Threshold;
@@ -69,6 +74,7 @@
   Limit = std::min<double>(Limit, Options.FirstLimit);
   Threshold = Options.Ceiling;
   SlowStart = true;
+  Completed = 0;
   LastAdvance = Now;
   RecentFirstToken = UsualFirstToken;
 }
--- a/src/pool/upstream_limit.h
+++ b/src/pool/upstream_limit.h
@@ -24,6 +24,8 @@
   std::uint32_t FirstLimit = 1;
   /// Slots added per second of healthy use in slow start.
   double Growth = 1;
+  /// Requests that must complete before the limit of a cold upstream grows.
+  std::uint32_t WarmRequests = 0;
 };
 
 /// Concurrency limit of one upstream: slow start, additive increase while the
@@ -42,6 +44,9 @@
   /// used (at least half of the limit) and has been healthy.
   void advance(std::uint32_t InUse, instant Now);
 
+  /// Counts completed requests, which warm a cold upstream.
+  void onCompleted(std::uint64_t Count) noexcept { Completed += Count; }
+
   void onOverload(instant Now);
   /// Starts slow start again: new, restarted, returned or cold upstream.
   void onCold(instant Now);
@@ -58,6 +63,8 @@
   double Limit;
   double Threshold;
   bool SlowStart = true;
+  /// Requests completed since the upstream was new or cold.
+  std::uint64_t Completed = 0;
   instant LastAdvance;
   std::optional<instant> LastDecrease;
   std::optional<incarnation> Incarnation;
--- a/src/store/config_view.cpp
+++ b/src/store/config_view.cpp
@@ -161,6 +161,7 @@
       auto &Entry = Services[Slot->second];
       Member.FirstLimit = std::min(Entry.Spec->FirstLimit, Spec.MaxConcurrent);
       Member.Growth = Entry.Spec->Growth;
+      Member.WarmRequests = Entry.Spec->WarmRequests;
       Entry.Members.push_back(Member);
     }
     Objects.push_back(Object);
--- a/src/store/config_view.h
+++ b/src/store/config_view.h
@@ -24,8 +24,10 @@
   /// Limit of concurrent requests when the upstream starts cold, at most the
   /// ceiling.
   std::uint32_t FirstLimit = 0;
-  /// Factor of slow start per round of healthy requests.
+  /// Slots per second of healthy use that slow start adds.
   double Growth = 0;
+  /// Requests that must complete before the limit of a cold upstream grows.
+  std::uint32_t WarmRequests = 0;
   /// True if the upstream and its failure domain are both `in`. New work goes
   /// to usable members only.
   bool Usable = false;
--- a/src/store/service.h
+++ b/src/store/service.h
@@ -22,9 +22,11 @@
   std::uint32_t DeadlineMs = 30'000;
   /// Concurrency limit of an upstream when it starts cold.
   std::uint32_t FirstLimit = 2;
-  /// Factor by which slow start raises the limit after each round of healthy
-  /// requests, 1.01 to 4.
+  /// Slots by which slow start raises the limit per second of healthy use,
+  /// 1.01 to 4.
   double Growth = 1.5;
+  /// Requests that must complete before the limit of a cold upstream grows.
+  std::uint32_t WarmRequests = 20;
 
   /// Calls `Visit` with the name and the value of every field.
   template <class Self, class Visitor>
@@ -35,9 +37,11 @@
     Visit.optional("deadline_ms", Spec.DeadlineMs);
     Visit.optional("first_limit", Spec.FirstLimit);
     Visit.optional("growth", Spec.Growth);
+    Visit.optional("warm_requests", Spec.WarmRequests);
   }
   bool operator==(const service &) const = default;
-  MSGPACK_DEFINE(Kind, Model, Routes, DeadlineMs, FirstLimit, Growth)
+  MSGPACK_DEFINE(Kind, Model, Routes, DeadlineMs, FirstLimit, Growth,
+                 WarmRequests)
 };
 
 } // namespace arbutus::store
--- a/src/store/validation.cpp
+++ b/src/store/validation.cpp
@@ -173,6 +173,7 @@
     range("deadline_ms", Spec.DeadlineMs, 1U, 3'600'000U);
     range("first_limit", Spec.FirstLimit, 1U, 65'536U);
     range("growth", Spec.Growth, 1.01, 4.0);
+    range("warm_requests", Spec.WarmRequests, 0U, 100'000U);
   }
 
   void operator()(const policy &Spec) {
