--- a/tests/consensus/explorer.h
+++ b/tests/consensus/explorer.h
@@ -3,6 +3,7 @@
 
 #include "fake_cluster.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <iterator>
 #include <string>
@@ -24,8 +25,9 @@
 /// Rates per 1000 at which each fault begins in one step of simulated time.
 struct fault_rates {
   std::uint32_t Crash = 0;
-  std::uint32_t LeaderLoss = 0; ///< crash or cut of whoever leads
-  std::uint32_t PowerLoss = 0;  ///< all nodes at once
+  std::uint32_t CrashUnsynced = 0; ///< of a node with unsynced writes
+  std::uint32_t LeaderLoss = 0;    ///< crash or cut of whoever leads
+  std::uint32_t PowerLoss = 0;     ///< all nodes at once
   std::uint32_t Freeze = 0;
   std::uint32_t Cut = 0;
   std::uint32_t Wipe = 0;
@@ -92,6 +94,7 @@
   fault_rates drawRates() {
     fault_rates Drawn;
     Drawn.Crash = maybeUpTo(15);
+    Drawn.CrashUnsynced = maybeUpTo(100);
     Drawn.LeaderLoss = maybeUpTo(60);
     Drawn.End = 10 + upTo(90);
     Drawn.PowerLoss = maybeUpTo(3);
@@ -138,6 +141,7 @@
       Cluster.crash(Node);
     }
     loseLeader();
+    loseUnsynced();
     if (Cluster.happens(Rates.PowerLoss)) {
       for (auto &[Id, Each] : Cluster.Nodes) {
         if (Each.Raft) {
@@ -175,6 +179,23 @@
     }
   }
 
+  /// Crashes between a write and its sync; the node starts again at once or
+  /// later.
+  void loseUnsynced() {
+    for (auto &[Id, Node] : Cluster.Nodes) {
+      const bool Writes =
+          std::any_of(Node.Unsynced.begin(), Node.Unsynced.end(),
+                      [](const output &Out) { return !Out.Writes.empty(); });
+      if (Writes && Cluster.happens(Rates.CrashUnsynced)) {
+        ++Result.Crashes;
+        Cluster.crash(Node);
+        if (Cluster.happens(500)) {
+          Cluster.start(Node);
+        }
+      }
+    }
+  }
+
   void endFaults() {
     auto &Node = anyNode();
     if (!Cluster.happens(Rates.End)) {
