Cut single directions between nodes in the schedules

Cause: a commit of an earlier term's entry was not found in 5000 schedules, and partitions only split the nodes in two. Change: the explorer cuts single directions between two nodes. Conclusion: partial partitions reach states that two halves do not.

--- a/tests/consensus/explorer.h
+++ b/tests/consensus/explorer.h
@@ -30,6 +30,7 @@
   std::uint32_t PowerLoss = 0;     ///< all nodes at once
   std::uint32_t Freeze = 0;
   std::uint32_t Cut = 0;
+  std::uint32_t CutLink = 0; ///< of one direction between two nodes
   std::uint32_t Wipe = 0;
   std::uint32_t StorageFailure = 0;
   std::uint32_t Change = 0;
@@ -100,6 +101,7 @@
     Drawn.PowerLoss = maybeUpTo(3);
     Drawn.Freeze = maybeUpTo(10);
     Drawn.Cut = maybeUpTo(10);
+    Drawn.CutLink = maybeUpTo(15);
     Drawn.Wipe = upTo(3) == 0 ? upTo(3) : 0;
     Drawn.StorageFailure = maybeUpTo(3);
     Drawn.Change = maybeUpTo(150);
@@ -163,6 +165,9 @@
     if (Cluster.happens(Rates.Cut)) {
       Node.Cut = true;
     }
+    if (Cluster.happens(Rates.CutLink)) {
+      Cluster.CutLinks.emplace(target().Id, anyNode().Id);
+    }
     endFaults();
   }
 
@@ -202,6 +207,7 @@
       return;
     }
     Node.Cut = false;
+    Cluster.CutLinks.clear();
     if (Node.Raft && Node.Raft->currentStatus().Role == role::Failed) {
       Cluster.crash(Node);
     }
--- a/tests/consensus/fake_cluster.h
+++ b/tests/consensus/fake_cluster.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +54,7 @@
 public:
   cluster_checks Checks;
   std::map<node_id, fake_node> Nodes;
+  std::set<std::pair<node_id, node_id>> CutLinks; ///< from, to
   std::mt19937_64 Random;
   instant Now = instantFromMicros(1'000'000);
   std::uint64_t Steps = 0;
@@ -270,6 +272,7 @@
   /// Ends all faults: everything runs, and the network loses and reorders
   /// nothing.
   void heal() {
+    CutLinks.clear();
     Options.LossRate = Options.DuplicateRate = 0;
     Options.MaxDelayMillis = 0;
     Options.MaxSyncMillis = 2;
@@ -308,6 +311,7 @@
     for (const auto &Message : Messages) {
       const auto To = Nodes.find(Message.to());
       if (To == Nodes.end() || To->second.Cut != From.Cut ||
+          CutLinks.count({From.Id, To->first}) == 1 ||
           happens(Options.LossRate)) {
         continue;
       }
