Keep cut directions longer in the schedules

Cause: cut directions ended with the next fault that ended, often before an election timeout. Change: they end in a fifth of those cases.

--- a/tests/consensus/explorer.h
+++ b/tests/consensus/explorer.h
@@ -207,7 +207,9 @@
       return;
     }
     Node.Cut = false;
-    Cluster.CutLinks.clear();
+    if (Cluster.happens(200)) {
+      Cluster.CutLinks.clear();
+    }
     if (Node.Raft && Node.Raft->currentStatus().Role == role::Failed) {
       Cluster.crash(Node);
     }
