Check committed voter sets when they are given out

The trace shows a leader that commits a voter set and crashes before it applies it, so that the check compared with an older set.

--- a/tests/consensus/cluster_checks.h
+++ b/tests/consensus/cluster_checks.h
@@ -62,7 +62,7 @@
     if (Missing != Applied.end() && Missing->second.SeenInTerm < Status.Term) {
       fail("leader lacks committed entries");
     }
-    if (VotersSeenInTerm < Status.Term &&
+    if (VotersIndex != 0 && VotersSeenInTerm < Status.Term &&
         disjointMajorities(Status.Voters, CommittedVoters)) {
       fail("leader elected by voters apart from the committed ones");
     }
@@ -78,6 +78,21 @@
     }
   }
 
+  /// Voter sets that are committed one after the other overlap. Called when a
+  /// node gives an entry out, because it may crash before it applies it.
+  void committed(const log_entry &Entry, std::uint64_t TermOfNode) {
+    if (Entry.Kind != entry_kind::Voters || Entry.Index <= VotersIndex) {
+      return;
+    }
+    auto Next = decode<voter_set>(Entry.Payload).value();
+    if (VotersIndex != 0 && disjointMajorities(CommittedVoters, Next)) {
+      fail("voter sets that follow each other have disjoint majorities");
+    }
+    CommittedVoters = std::move(Next);
+    VotersIndex = Entry.Index;
+    VotersSeenInTerm = TermOfNode;
+  }
+
   /// All nodes apply the same entry at an index. Returns the digest of the
   /// state machine after it.
   std::uint64_t applied(const log_entry &Entry, std::uint64_t Digest,
@@ -86,18 +101,10 @@
                            ? hash64(Entry.Payload, Digest)
                            : Digest;
     const applied_entry Mark{Entry.Term, After, TermOfNode};
-    const auto [Known, Added] = Applied.emplace(Entry.Index, Mark);
+    const auto Known = Applied.emplace(Entry.Index, Mark).first;
     if (Known->second.Term != Mark.Term || Known->second.Digest != After) {
       fail("different entries committed at " + std::to_string(Entry.Index));
     }
-    if (Added && Entry.Kind == entry_kind::Voters) {
-      auto Next = decode<voter_set>(Entry.Payload).value();
-      if (VotersSeenInTerm != 0 && disjointMajorities(CommittedVoters, Next)) {
-        fail("voter sets that follow each other have disjoint majorities");
-      }
-      CommittedVoters = std::move(Next);
-      VotersSeenInTerm = TermOfNode;
-    }
     return After;
   }
 
@@ -138,6 +145,7 @@
   std::map<std::pair<std::uint64_t, std::uint64_t>, entry_mark> Appended;
   std::map<std::uint64_t, applied_entry> Applied;
   voter_set CommittedVoters;
+  std::uint64_t VotersIndex = 0;
   std::uint64_t VotersSeenInTerm = 0;
 };
 
--- a/tests/consensus/explorer.h
+++ b/tests/consensus/explorer.h
@@ -106,7 +106,7 @@
     Drawn.StorageFailure = maybeUpTo(3);
     Drawn.Change = maybeUpTo(150);
     Drawn.Snapshot = maybeUpTo(30);
-    Drawn.Propose = 20 + upTo(150);
+    Drawn.Propose = 1 + upTo(upTo(1) == 0 ? 5 : 170);
     return Drawn;
   }
 
--- a/tests/consensus/fake_cluster.h
+++ b/tests/consensus/fake_cluster.h
@@ -258,6 +258,9 @@
     auto Out = Node.Raft->step(Input, localTime(Node));
     send(Node, Out.EarlyMessages);
     stage(Node, Out.Writes);
+    for (const auto &Entry : Out.Committed) {
+      Checks.committed(Entry, Node.Raft->currentStatus().Term);
+    }
     observe(Node);
     if (Out.Writes.empty() && Out.Messages.empty() && Out.Committed.empty()) {
       return Out;
