--- a/tests/consensus/explorer.h
+++ b/tests/consensus/explorer.h
@@ -3,6 +3,7 @@
 
 #include "fake_cluster.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <iterator>
 #include <string>
@@ -24,10 +25,12 @@
 /// Rates per 1000 at which each fault begins in one step of simulated time.
 struct fault_rates {
   std::uint32_t Crash = 0;
-  std::uint32_t LeaderLoss = 0; ///< crash or cut of whoever leads
-  std::uint32_t PowerLoss = 0;  ///< all nodes at once
+  std::uint32_t CrashUnsynced = 0; ///< of a node with unsynced writes
+  std::uint32_t LeaderLoss = 0;    ///< crash or cut of whoever leads
+  std::uint32_t PowerLoss = 0;     ///< all nodes at once
   std::uint32_t Freeze = 0;
   std::uint32_t Cut = 0;
+  std::uint32_t CutLink = 0; ///< of one direction between two nodes
   std::uint32_t Wipe = 0;
   std::uint32_t StorageFailure = 0;
   std::uint32_t Change = 0;
@@ -92,16 +95,18 @@
   fault_rates drawRates() {
     fault_rates Drawn;
     Drawn.Crash = maybeUpTo(15);
+    Drawn.CrashUnsynced = maybeUpTo(100);
     Drawn.LeaderLoss = maybeUpTo(60);
     Drawn.End = 10 + upTo(90);
     Drawn.PowerLoss = maybeUpTo(3);
     Drawn.Freeze = maybeUpTo(10);
     Drawn.Cut = maybeUpTo(10);
+    Drawn.CutLink = maybeUpTo(15);
     Drawn.Wipe = upTo(3) == 0 ? upTo(3) : 0;
     Drawn.StorageFailure = maybeUpTo(3);
     Drawn.Change = maybeUpTo(150);
     Drawn.Snapshot = maybeUpTo(30);
-    Drawn.Propose = 20 + upTo(150);
+    Drawn.Propose = 1 + upTo(upTo(1) == 0 ? 5 : 170);
     return Drawn;
   }
 
@@ -138,6 +143,7 @@
       Cluster.crash(Node);
     }
     loseLeader();
+    loseUnsynced();
     if (Cluster.happens(Rates.PowerLoss)) {
       for (auto &[Id, Each] : Cluster.Nodes) {
         if (Each.Raft) {
@@ -159,6 +165,9 @@
     if (Cluster.happens(Rates.Cut)) {
       Node.Cut = true;
     }
+    if (Cluster.happens(Rates.CutLink)) {
+      Cluster.CutLinks.emplace(target().Id, anyNode().Id);
+    }
     endFaults();
   }
 
@@ -175,12 +184,32 @@
     }
   }
 
+  /// Crashes between a write and its sync; the node starts again at once or
+  /// later.
+  void loseUnsynced() {
+    for (auto &[Id, Node] : Cluster.Nodes) {
+      const bool Writes =
+          std::any_of(Node.Unsynced.begin(), Node.Unsynced.end(),
+                      [](const output &Out) { return !Out.Writes.empty(); });
+      if (Writes && Cluster.happens(Rates.CrashUnsynced)) {
+        ++Result.Crashes;
+        Cluster.crash(Node);
+        if (Cluster.happens(500)) {
+          Cluster.start(Node);
+        }
+      }
+    }
+  }
+
   void endFaults() {
     auto &Node = anyNode();
     if (!Cluster.happens(Rates.End)) {
       return;
     }
     Node.Cut = false;
+    if (Cluster.happens(200)) {
+      Cluster.CutLinks.clear();
+    }
     if (Node.Raft && Node.Raft->currentStatus().Role == role::Failed) {
       Cluster.crash(Node);
     }
