Answer the heartbeats of nodes that are not in the list of live nodes

Cause: the peers of the mesh are the voters and the live nodes. When the session of a router ended, every voter dropped its link. The answer that tells the router that its incarnation is closed could not be sent (`unknown_peer`), so a router that was stopped or cut off for more than 3 s never came back until its process was restarted.

Change: a voter that hears a heartbeat of a node without a link adds one. The next list of live nodes removes it again, which bounds the links.

--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -56,6 +56,9 @@
   void send(node_id To, net::message_kind Kind, const std::string &Payload);
   void receive(node_id From, incarnation Incarnation, net::message_kind Kind,
                std::string Payload);
+  /// Makes a node reachable that is not among the live nodes. Its heartbeats
+  /// must be answered: only the answer tells it that its session has ended.
+  void reach(node_id From, const std::string &Payload);
   void onNodes(const std::vector<live_node> &Nodes);
   void callLeader(router::operator_call Call, router::shard &Shard,
                   std::function<void(router::operator_answer)> Callback);
@@ -242,6 +245,9 @@
   case net::message_kind::ClaimRequest:
   case net::message_kind::ApiRequest:
     if (Voter) {
+      if (Kind == net::message_kind::Heartbeat) {
+        reach(From, Payload);
+      }
       Voter->post({From, Incarnation, Kind, std::move(Payload)});
     }
     return;
@@ -253,6 +259,17 @@
   }
 }
 
+void server::reach(node_id From, const std::string &Payload) {
+  if (From == Settings.Node.Id || Mesh->hasPeer(From)) {
+    return;
+  }
+  if (const auto Heartbeat = decode<heartbeat_message>(Payload)) {
+    asio::post(Io, [this, From, Address = Heartbeat.value().Self.MeshAddress] {
+      Mesh->addPeer({From, Address});
+    });
+  }
+}
+
 void server::onNodes(const std::vector<live_node> &Nodes) {
   std::vector<net::mesh_peer> Peers;
   for (const auto &Control : Settings.Fleet.Control) {
--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -230,6 +230,11 @@
 
   void setPeers(const std::vector<mesh_peer> &Peers) {
     const std::lock_guard PeersLock(PeersMutex);
+    replaceLinks(Peers);
+  }
+
+  /// Only for the holder of `PeersMutex`.
+  void replaceLinks(const std::vector<mesh_peer> &Peers) {
     if (Stopping) {
       return;
     }
@@ -260,6 +265,26 @@
     const std::unique_lock Lock(Mutex);
     Links.swap(Next);
   }
+
+  [[nodiscard]] bool hasPeer(node_id Node) {
+    const std::shared_lock Lock(Mutex);
+    return Links.find(Node) != Links.end();
+  }
+
+  void addPeer(const mesh_peer &Peer) {
+    const std::lock_guard PeersLock(PeersMutex);
+    std::vector<mesh_peer> Peers;
+    {
+      const std::shared_lock Lock(Mutex);
+      for (const auto &[Node, Link] : Links) {
+        if (Node != Peer.Node) {
+          Peers.push_back(Link->peer());
+        }
+      }
+    }
+    Peers.push_back(Peer);
+    replaceLinks(Peers);
+  }
 };
 
 peer_mesh::peer_mesh(mesh_options Options, mesh_receiver Receiver)
@@ -304,6 +329,12 @@
   State->setPeers(Peers);
 }
 
+void peer_mesh::addPeer(const mesh_peer &Peer) { State->addPeer(Peer); }
+
+bool peer_mesh::hasPeer(node_id Node) const noexcept {
+  return State->hasPeer(Node);
+}
+
 bool peer_mesh::setCut(const std::set<node_id> &Nodes) {
   if (!State->Options.AllowFaultInjection) {
     return false;
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -102,6 +102,14 @@
   /// not known yet.
   void setPeers(const std::vector<mesh_peer> &Peers);
 
+  /// Adds a peer, or gives it a new address; does nothing for one that is
+  /// known under this address. The next `setPeers` removes it again unless it
+  /// names it.
+  void addPeer(const mesh_peer &Peer);
+
+  /// True if frames can be queued for this node.
+  [[nodiscard]] bool hasPeer(node_id Node) const noexcept;
+
   /// Drops all frames to and from these nodes. Only for tests: does nothing
   /// and returns false unless fault injection is allowed.
   bool setCut(const std::set<node_id> &Nodes);
--- a/tests/net/test_peer_mesh.cpp
+++ b/tests/net/test_peer_mesh.cpp
@@ -309,6 +309,29 @@
 
 // Guards against a connection that a long partition has silenced and that
 // only TCP's own slow retransmission would revive.
+// A voter adds a node that it hears but that is not in the list of live nodes;
+// without that it cannot tell the node that its session has ended.
+TEST_CASE("a peer is added beside the others until the next list") {
+  test_node First(1);
+  test_node Second(2);
+  test_node Sender(3);
+  Sender.dial({{1, &First}});
+  CHECK(Sender.Mesh->send(node_id{2}, message_kind::Raft, "x") ==
+        send_outcome::UnknownPeer);
+  Sender.Mesh->addPeer({node_id{2}, Second.Mesh->address()});
+  Sender.Mesh->addPeer({node_id{2}, Second.Mesh->address()});
+  CHECK(Sender.Mesh->hasPeer(node_id{1}));
+  CHECK(Sender.Mesh->hasPeer(node_id{2}));
+  CHECK(Sender.Mesh->send(node_id{1}, message_kind::Raft, "to 1") ==
+        send_outcome::Queued);
+  CHECK(Sender.Mesh->send(node_id{2}, message_kind::Raft, "to 2") ==
+        send_outcome::Queued);
+  CHECK(eventually([&] { return First.count() == 1; }));
+  CHECK(eventually([&] { return Second.count() == 1; }));
+  Sender.dial({{1, &First}});
+  CHECK_FALSE(Sender.Mesh->hasPeer(node_id{2}));
+}
+
 TEST_CASE("a silent peer is dialed anew") {
   silent_listener Silent;
   test_node Sender(1, 1,
