Apply what messages have committed before the leader's duties run

Cause: an acknowledgement of a follower moves the commit index at once, but the entry was applied only at the end of the voter's round. In between the store was behind the commit index, which counts as not leading. So every commit (1) ended the leader's duties and began them anew: the positions of all nodes were forgotten, a change waited for the next heartbeat of each node (300 ms), the time of the term began anew, every node got a fresh lease and all nodes were sent the list of nodes; (2) dropped operators' calls, claims and heartbeats that arrived in the same round, which were repeated after 200 to 300 ms. While writes went on, no silent node was suspected and no grantor moved.

Change: the voter handles consensus messages first and carries out their outputs, then takes the time anew, since a sync may outlast the leader lease, and only then handles calls, heartbeats and duties.

--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -138,14 +138,26 @@
       }
       Frames.swap(Inbox);
     }
-    const instant Now = monotonic_clock::now();
+    instant Now = monotonic_clock::now();
     if (Failed) {
       publishStatus(Now);
       continue;
     }
     step(consensus::tick{}, Now);
     for (const auto &Frame : Frames) {
-      handle(Frame, Now);
+      if (Frame.Kind == net::message_kind::Raft) {
+        handle(Frame, Now);
+      }
+    }
+    // Applies what these messages committed before anything asks for the
+    // leader's duties: a store behind the commit index counts as not leading,
+    // which would drop calls and forget the nodes' configuration positions.
+    carryOut(Now);
+    Now = monotonic_clock::now(); // a sync may outlast the leader lease
+    for (const auto &Frame : Frames) {
+      if (Frame.Kind != net::message_kind::Raft) {
+        handle(Frame, Now);
+      }
     }
     if (leading(Now)) {
       const std::uint64_t Term = Raft.currentStatus().Term;
