Repeat a lost configuration update while changes go on

Cause: a node's report of an old position was ignored for 500 ms after the newest push to it. With more than two changes a second there was always such a push, so a node that had missed one update refused all later ones as gaps and stayed without a lease for as long as the changes went on.

Change: the 500 ms count from the oldest push that the node has not confirmed.

--- a/src/control/config_pusher.cpp
+++ b/src/control/config_pusher.cpp
@@ -26,7 +26,7 @@
   auto &State = Nodes[Node];
   const bool Behind = Position.Revision < State.Position.Revision ||
                       Position.ListOffset < State.Position.ListOffset;
-  if (State.Pushed && Behind && Now < State.LastPush + RepeatAfter) {
+  if (State.Pushed && Behind && Now < State.FirstPush + RepeatAfter) {
     return; // the push is on its way
   }
   State.Position = Position;
@@ -47,7 +47,11 @@
         break;
       }
       State.Position = store::positionAfter(State.Position, Update);
-      State.LastPush = Now;
+      // The oldest unconfirmed push counts: later ones must not put off the
+      // repetition of one that was lost.
+      if (!State.Pushed) {
+        State.FirstPush = Now;
+      }
       State.Pushed = true;
       Updates.emplace_back(Node, std::move(Update));
     }
--- a/src/control/config_pusher.h
+++ b/src/control/config_pusher.h
@@ -42,7 +42,8 @@
 private:
   struct node_state {
     store::config_position Position;
-    instant LastPush;
+    /// When the oldest push went out that the node has not confirmed.
+    instant FirstPush;
     bool Pushed = false;
   };
 
