--- a/tests/consensus/fake_cluster.h
+++ b/tests/consensus/fake_cluster.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +54,7 @@
 public:
   cluster_checks Checks;
   std::map<node_id, fake_node> Nodes;
+  std::set<std::pair<node_id, node_id>> CutLinks; ///< from, to
   std::mt19937_64 Random;
   instant Now = instantFromMicros(1'000'000);
   std::uint64_t Steps = 0;
@@ -256,6 +258,9 @@
     auto Out = Node.Raft->step(Input, localTime(Node));
     send(Node, Out.EarlyMessages);
     stage(Node, Out.Writes);
+    for (const auto &Entry : Out.Committed) {
+      Checks.committed(Entry, Node.Raft->currentStatus().Term);
+    }
     observe(Node);
     if (Out.Writes.empty() && Out.Messages.empty() && Out.Committed.empty()) {
       return Out;
@@ -267,10 +272,13 @@
     return Out;
   }
 
-  /// Ends all faults: everything runs, and the network loses nothing.
+  /// Ends all faults: everything runs, and the network loses and reorders
+  /// nothing.
   void heal() {
+    CutLinks.clear();
     Options.LossRate = Options.DuplicateRate = 0;
-    Options.MaxDelayMillis = Options.MaxSyncMillis = 2;
+    Options.MaxDelayMillis = 0;
+    Options.MaxSyncMillis = 2;
     for (auto &[Id, Node] : Nodes) {
       Node.Cut = false;
       if (Node.Frozen) {
@@ -306,6 +314,7 @@
     for (const auto &Message : Messages) {
       const auto To = Nodes.find(Message.to());
       if (To == Nodes.end() || To->second.Cut != From.Cut ||
+          CutLinks.count({From.Id, To->first}) == 1 ||
           happens(Options.LossRate)) {
         continue;
       }
