--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -1,6 +1,8 @@
 #include "router/request_flow.h"
 
 #include "base/log.h"
+#include "router/request_end.h"
+#include "router/upstream_answer.h"
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -20,168 +22,6 @@
 void callUpstream(const request_ptr &Request, upstream_id Upstream);
 void failWaiting(const request_ptr &Request, request_error Error);
 
-void logFinished(const routed_request &Request, std::string_view Result,
-                 int Status) {
-  logEvent(
-      log_level::Info, "request_finished",
-      {{"request", Request.PublicId},
-       {"team", Request.Team->Name},
-       {"service", Request.Service->Name},
-       {"result", Result},
-       {"status", Status},
-       {"upstream", Request.Call.UpstreamName},
-       {"attempts", Request.Attempts},
-       {"duration_us", toMicros(monotonic_clock::now() - Request.Arrived)}});
-}
-
-/// Cost of the present call: tokens for models, 1 for plain services.
-double costOf(const routed_request &Request) {
-  if (!Request.Model) {
-    return 1;
-  }
-  if (Request.Check) {
-    const double Prompt =
-        Request.Check->promptTokens() > 0
-            ? static_cast<double>(Request.Check->promptTokens())
-            : static_cast<double>(Request.Body.size()) / 4;
-    return Prompt + static_cast<double>(Request.Check->tokens());
-  }
-  const auto Json = nlohmann::json::parse(Request.Call.Body, nullptr, false);
-  if (Json.is_object() && Json.contains("usage") && Json["usage"].is_object()) {
-    return Json["usage"].value("prompt_tokens", 0.0) +
-           Json["usage"].value("completion_tokens", 0.0);
-  }
-  return static_cast<double>(Request.Body.size()) / 4;
-}
-
-/// Tells the claim's record how the request ended.
-void settleClaim(routed_request &Request, const net::http_response *Answer) {
-  if (!Request.ClaimHeld) {
-    return;
-  }
-  Request.ClaimHeld = false;
-  if (Answer == nullptr) {
-    Request.Context.Claims.finish(store::makeCommand(
-        store::withdraw_command{Request.Claim->Key, Request.Claim->Owner}));
-    return;
-  }
-  store::complete_command Complete{
-      Request.Claim->Key, Request.Claim->Owner, {}};
-  Complete.Answer.Status = static_cast<std::uint32_t>(Answer->Status);
-  Complete.Answer.ContentType = net::headerOf(Answer->Headers, "Content-Type");
-  Complete.Answer.Body = Answer->Body;
-  Request.Context.Claims.finish(store::makeCommand(std::move(Complete)));
-}
-
-void failRequest(const request_ptr &Request, request_error Error,
-                 run_outcome Outcome) {
-  if (Request->Phase == request_phase::Finished) {
-    return;
-  }
-  Request->Phase = request_phase::Finished;
-  if (Request->MayHaveRun) {
-    Outcome = run_outcome::Unknown;
-  }
-  Request->Context.Metrics.countError(Error);
-  logFinished(*Request, nameOf(Error), statusOf(Error));
-  auto Answer = errorAnswer(Error, Outcome, Request->PublicId);
-  Answer.Headers.emplace_back("X-Arbutus-Node", Request->Context.NodeName);
-  settleClaim(*Request, Outcome == run_outcome::NotRun ? nullptr : &Answer);
-  Request->Exchange->respond(std::move(Answer));
-}
-
-/// Ends a begun stream so that no client takes it for complete.
-void endIncomplete(const request_ptr &Request, request_error Error) {
-  Request->Phase = request_phase::Finished;
-  Request->Context.Metrics.countError(Error);
-  logFinished(*Request, nameOf(Error), Request->Call.Status);
-  Request->Exchange->writeChunk(
-      "data: " + errorBody(Error, run_outcome::Unknown, Request->PublicId) +
-      "\n\n");
-  Request->Exchange->endStream();
-}
-
-void addTraceHeaders(const routed_request &Request, net::http_headers &Out) {
-  Out.emplace_back("X-Request-Id", Request.PublicId);
-  Out.emplace_back("X-Arbutus-Node", Request.Context.NodeName);
-  Out.emplace_back("X-Arbutus-Upstream", Request.Call.UpstreamName);
-}
-
-net::http_response answerOf(const routed_request &Request) {
-  net::http_response Answer;
-  Answer.Status = Request.Call.Status;
-  for (const auto &[Name, Value] : Request.Call.Headers) {
-    if (!net::sameHeaderName(Name, "x-request-id") &&
-        !net::sameHeaderName(Name, "trailer")) {
-      Answer.Headers.emplace_back(Name, Value);
-    }
-  }
-  addTraceHeaders(Request, Answer.Headers);
-  Answer.Body = Request.Call.Body;
-  if (Request.Model && Request.PublicId != Request.UpstreamId) {
-    const auto At = Answer.Body.find(Request.UpstreamId);
-    if (At != std::string::npos) {
-      Answer.Body.replace(At, Request.UpstreamId.size(), Request.PublicId);
-    }
-  }
-  return Answer;
-}
-
-void answerRequest(const request_ptr &Request) {
-  Request->Phase = request_phase::Finished;
-  Request->Context.Metrics.countAnswer();
-  logFinished(*Request, "answered", Request->Call.Status);
-  if (Request->Check && Request->Exchange->answered()) {
-    Request->Context.Metrics.countTokens(
-        static_cast<double>(Request->Check->tokens()));
-    Request->Exchange->writeChunk("data: [DONE]\n\n");
-    Request->Exchange->endStream();
-    return;
-  }
-  auto Answer = answerOf(*Request);
-  settleClaim(*Request, &Answer);
-  Request->Exchange->respond(std::move(Answer));
-}
-
-/// True if the answer is for this request and whole.
-bool answerIsValid(const routed_request &Request) {
-  if (Request.Call.Oversized) {
-    return false;
-  }
-  if (Request.Check) {
-    return Request.Check->state() == stream_state::Done;
-  }
-  if (Request.Model && Request.Call.Status < 300) {
-    const auto Json = nlohmann::json::parse(Request.Call.Body, nullptr, false);
-    return Json.is_object() && Json.value("id", "") == Request.UpstreamId;
-  }
-  const std::string_view Echo =
-      net::headerOf(Request.Call.Headers, "X-Request-Id");
-  return Echo.empty() || Echo == Request.UpstreamId;
-}
-
-pool::request_outcome poolOutcome(const routed_request &Request,
-                                  net::call_outcome Outcome, bool Valid) {
-  switch (Outcome) {
-  case net::call_outcome::NothingSent:
-    return pool::request_outcome::ConnectFailed;
-  case net::call_outcome::DeadlinePassed:
-    return pool::request_outcome::TimedOut;
-  case net::call_outcome::Cancelled:
-    return pool::request_outcome::Cancelled;
-  case net::call_outcome::SentNoAnswer:
-  case net::call_outcome::AnswerBroken:
-    return pool::request_outcome::Failed;
-  case net::call_outcome::Complete:
-    break;
-  }
-  if (Request.Call.Status == 429 || Request.Call.Status == 503) {
-    return pool::request_outcome::Overloaded;
-  }
-  return Valid && Request.Call.Status < 500 ? pool::request_outcome::Ok
-                                            : pool::request_outcome::Failed;
-}
-
 void logCallFailed(const routed_request &Request, net::call_outcome Outcome,
                    const step_decision &Decision) {
   logEvent(log_level::Info, "call_failed",
@@ -242,13 +82,6 @@
   }
 }
 
-/// True if this router ended the call because its answer was wrong.
-bool cancelledByCheck(const routed_request &Request) {
-  return Request.Call.Oversized ||
-         (Request.Check && Request.Check->state() != stream_state::Open &&
-          Request.Check->state() != stream_state::Done);
-}
-
 void onCallDone(const request_ptr &Request, net::call_outcome Outcome) {
   const bool Valid = answerIsValid(*Request);
   // A stream whose end mark was seen is whole, however its connection ended.
@@ -496,26 +329,6 @@
   }
 }
 
-/// Answers a resend from the record of the first request.
-void answerFromRecord(const request_ptr &Request,
-                      const store::command_outcome &Outcome) {
-  Request->Phase = request_phase::Finished;
-  Request->Context.Metrics.countAnswer();
-  net::http_response Answer;
-  Answer.Status = static_cast<int>(Outcome.Answer.Status);
-  if (!Outcome.Answer.ContentType.empty()) {
-    Answer.Headers.emplace_back("Content-Type", Outcome.Answer.ContentType);
-  }
-  Answer.Headers.emplace_back("X-Request-Id", Request->PublicId);
-  Answer.Headers.emplace_back("X-Arbutus-Node", Request->Context.NodeName);
-  Answer.Headers.emplace_back("Idempotency-Replayed", "true");
-  Answer.Headers.emplace_back("Idempotency-Expires-At-Ms",
-                              std::to_string(Outcome.ExpiresAtMs));
-  Answer.Body = Outcome.Answer.Body;
-  logFinished(*Request, "replayed", Answer.Status);
-  Request->Exchange->respond(std::move(Answer));
-}
-
 void onClaimed(const request_ptr &Request,
                const std::optional<store::command_outcome> &Outcome) {
   if (!Outcome) {
