--- a/scripts/lib/measures/_slopes.py
+++ b/scripts/lib/measures/_slopes.py
@@ -74,6 +74,11 @@
         fleet.start()
         yield fleet
     finally:
+        for process in fleet.nodes.values():
+            if not process.running():
+                with open(process.log, errors="replace") as text:
+                    common.log("%s ended with %s: %s" % (process.name, process.child.returncode,
+                                                        text.read()[-500:]))
         fleet.stop()
         shutil.rmtree(run_dir, ignore_errors=True)
 
