Remove settings without effect; dial the peers that are listed

A request kept the name of its upstream as a view into a configuration that may be replaced before the name is logged. Change: the two keys are gone, so that they are refused as unknown; listed peers are dialled; the name is copied.

--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -12,6 +12,7 @@
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -28,6 +29,28 @@
 /// Time for the last answers to reach their callers before the process ends.
 constexpr auto LastAnswers = std::chrono::milliseconds(200);
 
+bool lists(const std::vector<net::mesh_peer> &Peers, node_id Node) {
+  return std::any_of(Peers.begin(), Peers.end(),
+                     [&](const auto &Peer) { return Peer.Node == Node; });
+}
+
+/// The processes that the settings name: the voters and other peers.
+std::vector<net::mesh_peer>
+configuredPeers(const settings::settings &Settings) {
+  std::vector<net::mesh_peer> Peers;
+  for (const auto &Control : Settings.Fleet.Control) {
+    if (Control.Id != Settings.Node.Id) {
+      Peers.push_back({Control.Id, Control.Mesh.text()});
+    }
+  }
+  for (const auto &Peer : Settings.Peers) {
+    if (!lists(Peers, Peer.Id)) {
+      Peers.push_back({Peer.Id, Peer.Mesh.text()});
+    }
+  }
+  return Peers;
+}
+
 /// One I/O thread with its listener.
 struct io_thread {
   explicit io_thread(int Index) : Shard(Index), Work(Shard.Io.get_executor()) {}
@@ -155,11 +178,7 @@
   Options.Listen = Settings.Listen.Mesh.text();
   Options.FleetKey = Settings.Fleet.Key;
   Options.AllowFaultInjection = Settings.Testing.AllowFaultInjection;
-  for (const auto &Control : Settings.Fleet.Control) {
-    if (Control.Id != Settings.Node.Id) {
-      Options.Peers.push_back({Control.Id, Control.Mesh.text()});
-    }
-  }
+  Options.Peers = configuredPeers(Settings);
   auto Started = net::peer_mesh::start(
       std::move(Options), [this](node_id From, incarnation Incarnation,
                                  net::message_kind Kind, std::string Payload) {
@@ -271,19 +290,9 @@
 }
 
 void server::onNodes(const std::vector<live_node> &Nodes) {
-  std::vector<net::mesh_peer> Peers;
-  for (const auto &Control : Settings.Fleet.Control) {
-    if (Control.Id != Settings.Node.Id) {
-      Peers.push_back({Control.Id, Control.Mesh.text()});
-    }
-  }
+  auto Peers = configuredPeers(Settings);
   for (const auto &Node : Nodes) {
-    const bool Known =
-        Node.Info.Node == Settings.Node.Id ||
-        std::any_of(Peers.begin(), Peers.end(), [&](const auto &Peer) {
-          return Peer.Node == Node.Info.Node;
-        });
-    if (!Known) {
+    if (Node.Info.Node != Settings.Node.Id && !lists(Peers, Node.Info.Node)) {
       Peers.push_back({Node.Info.Node, Node.Info.MeshAddress});
     }
   }
--- a/src/router/routed_request.h
+++ b/src/router/routed_request.h
@@ -21,7 +21,7 @@
 /// One call of one upstream on behalf of a request.
 struct upstream_call {
   upstream_id Upstream{};
-  std::string_view UpstreamName;
+  std::string UpstreamName; ///< a copy: the view may be replaced
   net::call_id Call{};
   instant SentAt;
   std::optional<duration> FirstToken;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -51,8 +51,6 @@
   std::vector<std::string> OperatorKeyHashes;
   /// The voters, in the order of the file.
   std::vector<voter_settings> Control;
-  /// First start of a voter: an empty data directory is then not a lost disk.
-  bool Bootstrap = false;
 };
 
 /// One `[[peer]]` table: another process that this one dials.
@@ -76,12 +74,6 @@
   std::chrono::seconds Drain{30};
 };
 
-/// `[platform]`
-struct platform_settings {
-  /// Where the platform lists live and leaving VMs; empty when unused.
-  std::string VmListUrl;
-};
-
 /// `[testing]`
 struct testing_settings {
   bool AllowFaultInjection = false;
@@ -97,7 +89,6 @@
   std::vector<peer_settings> Peers;
   log_settings Log;
   limit_settings Limits;
-  platform_settings Platform;
   testing_settings Testing;
 };
 
