--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -26,9 +26,10 @@
                                 std::optional<node_id> Leader, bool Leading,
                                 const store::state_machine &Store,
                                 instant Now) {
-  live_node Node = fromWire(Heartbeat.Self);
+  membership::live_node Node = fromWire(Heartbeat.Self);
   Node.Info.Node = From;
-  Heard[From] = {known_node{Node.Info, Incarnation, {}, Node.Leaving}, Now};
+  Heard[From] = {
+      membership::known_node{Node.Info, Incarnation, {}, Node.Leaving}, Now};
   heartbeat_reply_message Reply;
   Reply.LeaderHint = Leader ? number(*Leader) : 0;
   Reply.SendTime = Heartbeat.SendTime;
@@ -36,18 +37,18 @@
     Send(From, net::message_kind::HeartbeatReply, encode(Reply));
     return;
   }
-  heartbeat Beat;
+  membership::heartbeat Beat;
   Beat.Info = Node.Info;
   Beat.Incarnation = Incarnation;
   Beat.Applied = Heartbeat.Position.Revision;
   Beat.SendTime = Heartbeat.SendTime;
   Beat.Leaving = Node.Leaving;
-  const lease_answer Lease = Sessions.onHeartbeat(Beat, Now);
+  const membership::lease_answer Lease = Sessions.onHeartbeat(Beat, Now);
   Reply.Leader = true;
   Reply.Term = Term;
   Reply.Committed = number(Store.currentRevision());
   Reply.Closed = number(Lease.Closed);
-  if (Lease.Outcome == lease_outcome::Granted) {
+  if (Lease.Outcome == membership::lease_outcome::Granted) {
     Config.onPosition(From, Heartbeat.Position, Now);
     if (Config.currentEnough(Beat.Applied, Store, Now)) {
       Reply.LeaseMicros = toMicros(Lease.Lease);
@@ -112,7 +113,7 @@
   OrphansAbandoned = false;
   LastExpire = Now;
   Config.reset();
-  std::vector<known_node> Known;
+  std::vector<membership::known_node> Known;
   for (const auto &[Node, Entry] : Heard) {
     if (Entry.At + RememberHeard >= Now) {
       Known.push_back(Entry.Known);
@@ -130,11 +131,11 @@
              {{"change", nameOf(Event.Kind)},
               {"peer", number(Event.Node)},
               {"incarnation", number(Event.Incarnation)}});
-    if (Event.Kind == session_event_kind::Ended) {
+    if (Event.Kind == membership::session_event_kind::Ended) {
       Config.remove(Event.Node);
     }
-    if (Event.Kind == session_event_kind::Ended ||
-        Event.Kind == session_event_kind::Restarted) {
+    if (Event.Kind == membership::session_event_kind::Ended ||
+        Event.Kind == membership::session_event_kind::Restarted) {
       Commands.push_back(store::makeCommand(
           store::abandon_command{Event.Node, Event.Incarnation}));
     }
@@ -143,12 +144,12 @@
 
 void leader_duties::placePools(const store::state_machine &Store,
                                std::vector<store::command> &Commands) {
-  std::vector<grantor_assignment> Assignments;
+  std::vector<membership::grantor_assignment> Assignments;
   std::map<pool_id, const store::resource *> Objects;
   const auto List = Store.list(store::resource_kind::Pool);
   for (const auto &Object : List) {
     const auto *Pool = Object->as<store::pool>();
-    grantor_assignment Assignment;
+    membership::grantor_assignment Assignment;
     Assignment.Pool = pool_id{Object->Number};
     if (number(Pool->Grantor) != 0) {
       Assignment.Grantor = Pool->Grantor;
@@ -164,8 +165,8 @@
       DomainsOut.insert(Object->Name);
     }
   }
-  for (const auto &Move :
-       placeGrantors(Assignments, Sessions.liveNodes(), DomainsOut)) {
+  for (const auto &Move : membership::placeGrantors(
+           Assignments, Sessions.liveNodes(), DomainsOut)) {
     const store::resource &Object = *Objects.at(Move.Pool);
     const epoch Next{number(Object.as<store::pool>()->Epoch) + 1};
     logEvent(log_level::Info, "place_grantor",
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -2,9 +2,9 @@
 #define ARBUTUS_CONTROL_LEADER_DUTIES_H
 
 #include "control/config_pusher.h"
-#include "control/grantor_placement.h"
 #include "control/messages.h"
-#include "control/session_table.h"
+#include "membership/grantor_placement.h"
+#include "membership/session_table.h"
 #include "net/message_kind.h"
 #include "store/commands.h"
 
@@ -45,13 +45,13 @@
   /// The term's duties end; nothing is sent until the next `tick`.
   void stop() noexcept { Term = 0; }
 
-  [[nodiscard]] std::vector<live_node> liveNodes() const {
+  [[nodiscard]] std::vector<membership::live_node> liveNodes() const {
     return Sessions.liveNodes();
   }
 
 private:
   struct heard_node {
-    known_node Known;
+    membership::known_node Known;
     instant At;
   };
 
@@ -66,7 +66,7 @@
 
   node_id Self;
   send_function Send;
-  session_table Sessions;
+  membership::session_table Sessions;
   config_pusher Config;
   std::map<node_id, heard_node> Heard;
   std::uint64_t Term = 0;
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -2,7 +2,7 @@
 
 namespace arbutus::control {
 
-wire_node toWire(const live_node &Node) {
+wire_node toWire(const membership::live_node &Node) {
   wire_node Wire;
   Wire.Node = number(Node.Info.Node);
   Wire.Incarnation = number(Node.Incarnation);
@@ -19,8 +19,8 @@
   return Wire;
 }
 
-live_node fromWire(const wire_node &Wire) {
-  live_node Node;
+membership::live_node fromWire(const wire_node &Wire) {
+  membership::live_node Node;
   Node.Info.Node = node_id{Wire.Node};
   Node.Incarnation = incarnation{Wire.Incarnation};
   Node.Info.Name = Wire.Name;
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -1,7 +1,7 @@
 #ifndef ARBUTUS_CONTROL_MESSAGES_H
 #define ARBUTUS_CONTROL_MESSAGES_H
 
-#include "control/node_session.h"
+#include "membership/node_session.h"
 #include "store/config_update.h"
 #include <msgpack.hpp>
 
@@ -30,8 +30,8 @@
                  MeshAddress, Router, Control, Suspected, Leaving, Applied)
 };
 
-[[nodiscard]] wire_node toWire(const live_node &Node);
-[[nodiscard]] live_node fromWire(const wire_node &Node);
+[[nodiscard]] wire_node toWire(const membership::live_node &Node);
+[[nodiscard]] membership::live_node fromWire(const wire_node &Node);
 
 /// `heartbeat`: a node to every voter.
 struct heartbeat_message {
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -15,8 +15,8 @@
 /// Time after which a silent leader is no longer taken for the leader.
 constexpr duration LeaderSilence = 900ms;
 
-node_info infoOf(const settings::settings &Settings) {
-  node_info Info;
+membership::node_info infoOf(const settings::settings &Settings) {
+  membership::node_info Info;
   Info.Node = Settings.Node.Id;
   Info.Name = Settings.Node.Name;
   Info.FailureDomain = Settings.Node.FailureDomain;
@@ -133,7 +133,7 @@
 
 void node_agent::heartbeat() {
   heartbeat_message Message;
-  live_node Self;
+  membership::live_node Self;
   Self.Info = infoOf(Settings);
   Self.Incarnation = Context->Incarnation.load();
   Self.Leaving = Leaving;
@@ -215,7 +215,7 @@
   }
   NodesTerm = Reply.Term;
   NodesVersion = Reply.NodesVersion;
-  auto Nodes = std::make_shared<std::vector<live_node>>();
+  auto Nodes = std::make_shared<std::vector<membership::live_node>>();
   for (const auto &Wire : Reply.Nodes) {
     Nodes->push_back(fromWire(Wire));
   }
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -27,7 +27,8 @@
   using send_function = std::function<void(node_id To, net::message_kind Kind,
                                            const std::string &Payload)>;
   /// Called with the live nodes whenever the list has changed.
-  using nodes_function = std::function<void(const std::vector<live_node> &)>;
+  using nodes_function =
+      std::function<void(const std::vector<membership::live_node> &)>;
   /// Called with a larger incarnation when the old one was closed.
   using incarnation_function = std::function<void(incarnation)>;
 
--- a/src/control/pool_host.cpp
+++ b/src/control/pool_host.cpp
@@ -53,7 +53,7 @@
   runSoon();
 }
 
-void pool_host::setNodes(const std::vector<live_node> &Nodes) {
+void pool_host::setNodes(const std::vector<membership::live_node> &Nodes) {
   Members.clear();
   for (const auto &Node : Nodes) {
     if (Node.Info.Router) {
--- a/src/control/pool_host.h
+++ b/src/control/pool_host.h
@@ -1,7 +1,7 @@
 #ifndef ARBUTUS_CONTROL_POOL_HOST_H
 #define ARBUTUS_CONTROL_POOL_HOST_H
 
-#include "control/node_session.h"
+#include "membership/node_session.h"
 #include "net/http_client.h"
 #include "pool/grantor.h"
 #include "store/config_view.h"
@@ -31,7 +31,7 @@
                  incarnation Incarnation);
 
   /// Sets the sessions of routers.
-  void setNodes(const std::vector<live_node> &Nodes);
+  void setNodes(const std::vector<membership::live_node> &Nodes);
 
   void onReport(node_id From, incarnation Incarnation, pool_id Pool,
                 const pool::pool_report &Report);
--- a/src/control/resource_api.cpp
+++ b/src/control/resource_api.cpp
@@ -53,7 +53,7 @@
 }
 
 nlohmann::json statusBody(const store::state_machine &Store,
-                          const std::vector<live_node> &Nodes) {
+                          const std::vector<membership::live_node> &Nodes) {
   nlohmann::json Body;
   Body["revision"] = number(Store.currentRevision());
   Body["claims"] = Store.claims();
@@ -183,7 +183,7 @@
 
 api_plan planApiCall(const api_request_message &Call,
                      const store::state_machine &Store,
-                     const std::vector<live_node> &Nodes) {
+                     const std::vector<membership::live_node> &Nodes) {
   const std::string_view Path = net::pathOf(Call.Target);
   const api_target Target = splitTarget(Path);
   if (Call.Method == "GET" && Target.Kind == "status") {
--- a/src/control/resource_api.h
+++ b/src/control/resource_api.h
@@ -27,9 +27,9 @@
 
 /// Reads a call and plans it against the present state. Reads are answered
 /// from `Store`, which must be up to date under the leader lease.
-[[nodiscard]] api_plan planApiCall(const api_request_message &Call,
-                                   const store::state_machine &Store,
-                                   const std::vector<live_node> &Nodes);
+[[nodiscard]] api_plan
+planApiCall(const api_request_message &Call, const store::state_machine &Store,
+            const std::vector<membership::live_node> &Nodes);
 
 /// Answer to a write from the outcome of its command.
 [[nodiscard]] api_answer answerOf(const store::command_outcome &Outcome);
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -82,7 +82,7 @@
   /// Makes a node reachable that is not among the live nodes. Its heartbeats
   /// must be answered: only the answer tells it that its session has ended.
   void reach(node_id From, const std::string &Payload);
-  void onNodes(const std::vector<live_node> &Nodes);
+  void onNodes(const std::vector<membership::live_node> &Nodes);
   void callLeader(router::operator_call Call, router::shard &Shard,
                   std::function<void(router::operator_answer)> Callback);
   void fillGauges(router::router_metrics &Metrics);
@@ -114,7 +114,9 @@
           Io, Settings,
           [this](node_id To, net::message_kind Kind,
                  const std::string &Payload) { send(To, Kind, Payload); },
-          [this](const std::vector<live_node> &Nodes) { onNodes(Nodes); },
+          [this](const std::vector<membership::live_node> &Nodes) {
+            onNodes(Nodes);
+          },
           [this](incarnation Next) { Mesh->setIncarnation(Next); }),
       Context(
           Settings.Node.Id, Settings.Node.Name,
@@ -289,7 +291,7 @@
   }
 }
 
-void server::onNodes(const std::vector<live_node> &Nodes) {
+void server::onNodes(const std::vector<membership::live_node> &Nodes) {
   auto Peers = configuredPeers(Settings);
   for (const auto &Node : Nodes) {
     if (Node.Info.Node != Settings.Node.Id && !lists(Peers, Node.Info.Node)) {
--- a/src/control/grantor_placement.cpp
+++ b/src/membership/grantor_placement.cpp
@@ -1,10 +1,10 @@
-#include "control/grantor_placement.h"
+#include "membership/grantor_placement.h"
 
 #include "base/digest.h"
 
 #include <algorithm>
 
-namespace arbutus::control {
+namespace arbutus::membership {
 
 namespace {
 
@@ -79,4 +79,4 @@
   return Moves;
 }
 
-} // namespace arbutus::control
+} // namespace arbutus::membership
--- a/src/control/grantor_placement.h
+++ b/src/membership/grantor_placement.h
@@ -1,16 +1,16 @@
-#ifndef ARBUTUS_CONTROL_GRANTOR_PLACEMENT_H
-#define ARBUTUS_CONTROL_GRANTOR_PLACEMENT_H
+#ifndef ARBUTUS_MEMBERSHIP_GRANTOR_PLACEMENT_H
+#define ARBUTUS_MEMBERSHIP_GRANTOR_PLACEMENT_H
 
 #include "base/ids.h"
 #include "base/name_table.h"
-#include "control/node_session.h"
+#include "membership/node_session.h"
 
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-namespace arbutus::control {
+namespace arbutus::membership {
 
 /// The grantor that the replicated log names for a pool.
 struct grantor_assignment {
@@ -50,12 +50,12 @@
               const std::vector<live_node> &Nodes,
               const std::set<std::string> &DomainsOut);
 
-} // namespace arbutus::control
+} // namespace arbutus::membership
 
 namespace arbutus {
 
-template <> struct name_table<control::move_reason> {
-  using reason = control::move_reason;
+template <> struct name_table<membership::move_reason> {
+  using reason = membership::move_reason;
   static constexpr name_row<reason> Rows[] = {
       {reason::NewPool, "new_pool"},
       {reason::GrantorGone, "grantor_gone"},
--- a/src/control/node_session.h
+++ b/src/membership/node_session.h
@@ -1,5 +1,5 @@
-#ifndef ARBUTUS_CONTROL_NODE_SESSION_H
-#define ARBUTUS_CONTROL_NODE_SESSION_H
+#ifndef ARBUTUS_MEMBERSHIP_NODE_SESSION_H
+#define ARBUTUS_MEMBERSHIP_NODE_SESSION_H
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <string>
 
-namespace arbutus::control {
+namespace arbutus::membership {
 
 /// What a node tells about itself.
 struct node_info {
@@ -96,20 +96,20 @@
   bool Leaving = false;
 };
 
-} // namespace arbutus::control
+} // namespace arbutus::membership
 
 namespace arbutus {
 
-template <> struct name_table<control::lease_outcome> {
-  using outcome_code = control::lease_outcome;
+template <> struct name_table<membership::lease_outcome> {
+  using outcome_code = membership::lease_outcome;
   static constexpr name_row<outcome_code> Rows[] = {
       {outcome_code::Granted, "granted"},
       {outcome_code::IncarnationClosed, "incarnation_closed"},
   };
 };
 
-template <> struct name_table<control::session_event_kind> {
-  using kind = control::session_event_kind;
+template <> struct name_table<membership::session_event_kind> {
+  using kind = membership::session_event_kind;
   static constexpr name_row<kind> Rows[] = {
       {kind::Joined, "joined"},       {kind::Suspected, "suspected"},
       {kind::Recovered, "recovered"}, {kind::Ended, "ended"},
--- a/src/control/session_table.cpp
+++ b/src/membership/session_table.cpp
@@ -1,10 +1,10 @@
-#include "control/session_table.h"
+#include "membership/session_table.h"
 
 #include <algorithm>
 #include <iterator>
 #include <utility>
 
-namespace arbutus::control {
+namespace arbutus::membership {
 
 session_table::session_table(session_timing Timing) noexcept : Timing(Timing) {}
 
@@ -152,4 +152,4 @@
   return Sessions.erase(Entry);
 }
 
-} // namespace arbutus::control
+} // namespace arbutus::membership
--- a/src/control/session_table.h
+++ b/src/membership/session_table.h
@@ -1,13 +1,13 @@
-#ifndef ARBUTUS_CONTROL_SESSION_TABLE_H
-#define ARBUTUS_CONTROL_SESSION_TABLE_H
+#ifndef ARBUTUS_MEMBERSHIP_SESSION_TABLE_H
+#define ARBUTUS_MEMBERSHIP_SESSION_TABLE_H
 
-#include "control/node_session.h"
+#include "membership/node_session.h"
 
 #include <cstdint>
 #include <map>
 #include <vector>
 
-namespace arbutus::control {
+namespace arbutus::membership {
 
 struct session_timing {
   /// Silence after which a node is left out of address answers and placement.
@@ -69,6 +69,6 @@
   std::uint64_t Version = 1;
 };
 
-} // namespace arbutus::control
+} // namespace arbutus::membership
 
 #endif
--- a/src/router/address_answer.cpp
+++ b/src/router/address_answer.cpp
@@ -4,7 +4,7 @@
 
 namespace arbutus::router {
 
-std::string addressAnswer(const std::vector<control::live_node> &Nodes,
+std::string addressAnswer(const std::vector<membership::live_node> &Nodes,
                           address_order &Order, const caller_hints &Caller,
                           std::uint32_t TtlMs) {
   std::vector<address_node> Usable;
--- a/src/router/routing_state.h
+++ b/src/router/routing_state.h
@@ -1,7 +1,7 @@
 #ifndef ARBUTUS_ROUTER_ROUTING_STATE_H
 #define ARBUTUS_ROUTER_ROUTING_STATE_H
 
-#include "control/node_session.h"
+#include "membership/node_session.h"
 #include "store/config_view.h"
 
 #include <memory>
@@ -15,8 +15,8 @@
 struct routing_state {
   std::shared_ptr<const store::config_view> View =
       std::make_shared<const store::config_view>();
-  std::shared_ptr<const std::vector<control::live_node>> Nodes =
-      std::make_shared<const std::vector<control::live_node>>();
+  std::shared_ptr<const std::vector<membership::live_node>> Nodes =
+      std::make_shared<const std::vector<membership::live_node>>();
 };
 
 } // namespace arbutus::router
--- a/tests/control/test_grantor_placement.cpp
+++ b/tests/membership/test_grantor_placement.cpp
@@ -1,11 +1,11 @@
-#include "control/grantor_placement.h"
+#include "membership/grantor_placement.h"
 #include <catch2/catch.hpp>
 
 #include <functional>
 #include <map>
 
 using namespace arbutus;
-using namespace arbutus::control;
+using namespace arbutus::membership;
 
 namespace {
 
--- a/tests/control/test_session_table.cpp
+++ b/tests/membership/test_session_table.cpp
@@ -1,8 +1,8 @@
-#include "control/session_table.h"
+#include "membership/session_table.h"
 #include <catch2/catch.hpp>
 
 using namespace arbutus;
-using namespace arbutus::control;
+using namespace arbutus::membership;
 using event = session_event_kind;
 
 namespace {
--- a/tests/router/test_request_policy.cpp
+++ b/tests/router/test_request_policy.cpp
@@ -145,9 +145,9 @@
 // Guards against leaving or suspected nodes in address answers, and against
 // routers that send every caller to the same node.
 TEST_CASE("addresses are live and spread over the nodes") {
-  std::vector<control::live_node> Nodes;
+  std::vector<membership::live_node> Nodes;
   for (std::uint32_t I = 1; I <= 12; ++I) {
-    control::live_node Node;
+    membership::live_node Node;
     Node.Info.Node = node_id{I};
     Node.Info.Router = true;
     Node.Info.HttpAddress = "127.0.0.1:" + std::to_string(20000 + I);
