Survive upstream answers whose fields have wrong types

Cause: found by reading: a usage or id of a wrong type throws inside a libcurl callback, which nothing catches; any upstream could stop a router by a chunk. Ruled out: catching only at the callback, which would end good streams. Change: fields of answers are read with a type check; an exception that still reaches the callback ends the transfer and not the process.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -105,8 +105,12 @@
 std::size_t onBodyBytes(char *Data, std::size_t Size, std::size_t Count,
                         void *User) {
   const auto &Transfer = *static_cast<transfer *>(User);
-  if (Transfer.Call.OnBody) {
-    Transfer.Call.OnBody({Data, Size * Count});
+  try {
+    if (Transfer.Call.OnBody) {
+      Transfer.Call.OnBody({Data, Size * Count});
+    }
+  } catch (const std::exception &) {
+    return 0; // libcurl ends the transfer; an exception must not cross it
   }
   return Size * Count;
 }
--- a/src/router/stream_check.cpp
+++ b/src/router/stream_check.cpp
@@ -1,5 +1,6 @@
 #include "router/stream_check.h"
 
+#include "router/json_fields.h"
 #include <nlohmann/json.hpp>
 
 namespace arbutus::router {
@@ -29,6 +30,18 @@
   return {};
 }
 
+/// The delta of the first choice, or null.
+const nlohmann::json *deltaOf(const nlohmann::json &Chunk) {
+  const auto Choices = Chunk.find("choices");
+  if (Choices == Chunk.end() || !Choices->is_array() || Choices->empty() ||
+      !Choices->front().is_object()) {
+    return nullptr;
+  }
+  const auto Delta = Choices->front().find("delta");
+  return Delta != Choices->front().end() && Delta->is_object() ? &*Delta
+                                                               : nullptr;
+}
+
 } // namespace
 
 std::string stream_check::feed(std::string_view Bytes) {
@@ -110,15 +123,13 @@
   }
   const auto Usage = Chunk.find("usage");
   if (Usage != Chunk.end() && Usage->is_object()) {
-    Tokens = Usage->value("completion_tokens", Tokens);
-    PromptTokens = Usage->value("prompt_tokens", PromptTokens);
+    Tokens = numberOr(*Usage, "completion_tokens", Tokens);
+    PromptTokens = numberOr(*Usage, "prompt_tokens", PromptTokens);
   }
-  const auto Choices = Chunk.find("choices");
-  // A chunk without a usage carries one token.
-  if (Choices != Chunk.end() && Choices->is_array() && !Choices->empty() &&
-      Choices->front().is_object() && Choices->front().contains("delta") &&
-      Choices->front()["delta"].contains("content") &&
-      (Usage == Chunk.end() || !Usage->is_object())) {
+  // A chunk with content and without a usage carries one token.
+  const bool HasUsage = Usage != Chunk.end() && Usage->is_object();
+  const auto *Delta = deltaOf(Chunk);
+  if (!HasUsage && Delta != nullptr && Delta->contains("content")) {
     ++Tokens;
   }
   const auto At = Event.find(UpstreamId);
--- a/src/router/upstream_answer.cpp
+++ b/src/router/upstream_answer.cpp
@@ -1,5 +1,6 @@
 #include "router/upstream_answer.h"
 
+#include "router/json_fields.h"
 #include <nlohmann/json.hpp>
 
 namespace arbutus::router {
@@ -17,8 +18,8 @@
   }
   const auto Json = nlohmann::json::parse(Request.Call.Body, nullptr, false);
   if (Json.is_object() && Json.contains("usage") && Json["usage"].is_object()) {
-    return Json["usage"].value("prompt_tokens", 0.0) +
-           Json["usage"].value("completion_tokens", 0.0);
+    return static_cast<double>(numberOr(Json["usage"], "prompt_tokens", 0) +
+                               numberOr(Json["usage"], "completion_tokens", 0));
   }
   return static_cast<double>(Request.Body.size()) / 4;
 }
@@ -58,7 +59,7 @@
   }
   if (Request.Model && Request.Call.Status < 300) {
     const auto Json = nlohmann::json::parse(Request.Call.Body, nullptr, false);
-    return Json.is_object() && Json.value("id", "") == Request.UpstreamId;
+    return Json.is_object() && textOf(Json, "id") == Request.UpstreamId;
   }
   const std::string_view Echo =
       net::headerOf(Request.Call.Headers, "X-Request-Id");
--- a/tests/router/test_stream_check.cpp
+++ b/tests/router/test_stream_check.cpp
@@ -43,6 +43,17 @@
        P0},
       {"not JSON", A0 + "data: nonsense\n\n", stream_state::Malformed, 1, P0},
       {"no id", "data: {\"choices\":[]}\n\n", stream_state::Malformed, 0, ""},
+      {"id of a wrong type", A0 + "data: {\"id\":7}\n\n",
+       stream_state::Malformed, 1, P0},
+      {"usage of a wrong type",
+       "data: {\"id\":\"own\",\"usage\":{\"completion_tokens\":\"x\"}}\n\n" +
+           Done,
+       stream_state::Done, 0,
+       "data: {\"id\":\"public\",\"usage\":{\"completion_tokens\":\"x\"}}\n\n"},
+      {"choices of a wrong type",
+       "data: {\"id\":\"own\",\"choices\":[{\"delta\":5}]}\n\n" + Done,
+       stream_state::Done, 0,
+       "data: {\"id\":\"public\",\"choices\":[{\"delta\":5}]}\n\n"},
       {"comment", ": ping\n\n" + A0 + Done, stream_state::Done, 1, P0},
       {"after the end", A0 + Done + A1, stream_state::Done, 1, P0},
   };
