--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -91,6 +91,11 @@
   if (cancelledByCheck(*Request)) {
     Outcome = net::call_outcome::Complete;
   }
+  // An engine that falls over ends its answer properly but without the mark.
+  if (Outcome == net::call_outcome::Complete && Request->Check &&
+      Request->Check->state() == stream_state::Open) {
+    Outcome = net::call_outcome::AnswerBroken;
+  }
   const double Cost = costOf(*Request);
   Request->Context.Pools.complete(Request->Service->Pool, Request->Id, Cost,
                                   poolOutcome(*Request, Outcome, Valid),
