--- a/scripts/lib/measures/_common.py
+++ b/scripts/lib/measures/_common.py
@@ -58,6 +58,17 @@
             return json.load(text)
 
 
+def cpu_seconds(pid):
+    with open("/proc/%d/stat" % pid) as text:
+        fields = text.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_bytes(pid):
+    with open("/proc/%d/statm" % pid) as text:
+        return int(text.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
 def targets(fleet):
     return [fleet.http_address(n) for n in fleet.all_nodes()]
 
--- a/scripts/lib/measures/_slopes.py
+++ b/scripts/lib/measures/_slopes.py
@@ -108,17 +108,6 @@
 
 # Samples
 
-def cpu_seconds(pid):
-    with open("/proc/%d/stat" % pid) as text:
-        fields = text.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_bytes(pid):
-    with open("/proc/%d/statm" % pid) as text:
-        return int(text.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
 class Segments(threading.Thread):
     """Counts the data segments that each process sends to mesh ports. The mesh
     sends a frame with one call and without delay, so a segment is a frame
@@ -176,8 +165,8 @@
     for node, process in fleet.nodes.items():
         row = fleet.metrics(node)
         nodes[node] = {
-            "at": time.monotonic(), "cpu": cpu_seconds(process.pid),
-            "memory": resident_bytes(process.pid),
+            "at": time.monotonic(), "cpu": common.cpu_seconds(process.pid),
+            "memory": common.resident_bytes(process.pid),
             "sent": row["arbutus_mesh_bytes_sent"],
             "received": row["arbutus_mesh_bytes_received"],
             "answers": row.get("arbutus_answers_total", 0),
--- a/scripts/lib/measures/overhead.py
+++ b/scripts/lib/measures/overhead.py
@@ -12,17 +12,6 @@
 STREAMS = 2000
 
 
-def cpu_seconds(pid):
-    with open("/proc/%d/stat" % pid) as text:
-        fields = text.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_bytes(pid):
-    with open("/proc/%d/statm" % pid) as text:
-        return int(text.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
 def teams(arrival, path):
     return [{"name": "school-1", "api_key": KEY, "arrival": arrival,
              "mix": [{"kind": "get", "path": path}]}]
@@ -52,11 +41,11 @@
         latency(fleet, router, routed_path, seed, "warm-up")
         direct, _ = latency(fleet, worker, direct_path, seed, "direct")
         routed, total = latency(fleet, router, routed_path, seed, "routed")
-        before, started = cpu_seconds(pid), time.monotonic()
+        before, started = common.cpu_seconds(pid), time.monotonic()
         load = common.Load(fleet.run_dir, teams({"concurrency": 64}, routed_path), [router],
                            SECONDS, seed, ["--threads=2"], "closed")
         closed = load.result()["total"]
-        used = cpu_seconds(pid) - before
+        used = common.cpu_seconds(pid) - before
         elapsed = time.monotonic() - started
     result = {
         "rate": RATE,
@@ -89,7 +78,7 @@
                         engine_flags=flags, log_level="warning") as fleet:
         team = next(r["name"] for r in fleet.resources if r["kind"] == "team")
         pid = fleet.nodes[1].pid
-        before = resident_bytes(pid)
+        before = common.resident_bytes(pid)
         mix = common.chat_mix(common.model_of(fleet), (40, 60), (30, 30))
         load = common.Load(fleet.run_dir, [{"name": team, "api_key": "demo-" + team,
                                             "arrival": {"concurrency": STREAMS}, "mix": mix}],
@@ -100,7 +89,7 @@
         while time.monotonic() < end:
             open_now = fleet.metrics(1)["arbutus_in_flight_requests"]
             if open_now >= open_streams:
-                open_streams, peak = open_now, max(peak, resident_bytes(pid))
+                open_streams, peak = open_now, max(peak, common.resident_bytes(pid))
             time.sleep(0.2)
         load.result()
     return {"open_streams": open_streams,
