--- a/scripts/lib/measures/overhead.py
+++ b/scripts/lib/measures/overhead.py
@@ -1,7 +1,6 @@
 """Added latency of a router against direct calls, plain calls per core, and
 memory per idle stream."""
 
-import os
 import time
 
 import fleet as fleets
