--- /dev/null
+++ b/src/balance/local_pool.h
@@ -0,0 +1,107 @@
+#ifndef ARBUTUS_BALANCE_LOCAL_POOL_H
+#define ARBUTUS_BALANCE_LOCAL_POOL_H
+
+#include "balance/queued_request.h"
+#include "balance/upstream_load.h"
+#include "base/name_table.h"
+#include "pool/fair_queue.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace arbutus::balance {
+
+/// Tells the caller to send a request to an upstream now.
+struct dispatch {
+  std::uint64_t RequestId = 0;
+  upstream_id Upstream{};
+};
+
+/// What an ended call says about its upstream.
+enum class call_health {
+  Good,
+  Failed,      ///< answered with an error of its own, or broke off
+  Refused,     ///< had no room
+  Unreachable, ///< no connection
+  Neutral,     ///< says nothing, for example a caller that left
+};
+
+/// One router's share of the upstreams of one service: chooses upstreams by
+/// load and prompt affinity, and queues requests per team while all are full.
+/// It needs no message to other routers; what they do shows in the load that
+/// upstreams report. Not thread-safe; every time is an argument.
+class local_pool {
+public:
+  /// `Seed` spreads the first requests to cold upstreams over the routers.
+  explicit local_pool(std::uint64_t Seed) noexcept : Seed(Seed) {}
+
+  void setUpstreams(const std::vector<upstream_facts> &List, instant Now);
+  /// Number of routers that share the upstreams.
+  void setRouters(std::uint32_t Count) noexcept;
+
+  /// Sends a request now or queues it.
+  [[nodiscard]] std::optional<upstream_id> enqueue(queued_request Request,
+                                                   instant Now);
+  /// Removes a waiting request; false if it does not wait.
+  bool cancel(std::uint64_t RequestId);
+  /// Notes the first byte of an answer: the prompt has been read.
+  void onFirstByte(std::uint64_t RequestId);
+  /// Ends a request that was sent.
+  void complete(std::uint64_t RequestId, call_health Health, instant Now);
+  /// Takes an upstream's report of its load.
+  void onLoad(upstream_id Upstream, const reported_load &Load);
+
+  /// Waiting requests that can be sent now, in fair order.
+  [[nodiscard]] std::vector<dispatch> takeReady(instant Now);
+  /// Removes and returns waiting requests whose deadline has passed.
+  [[nodiscard]] std::vector<std::uint64_t> expire(instant Now);
+
+  [[nodiscard]] std::size_t waiting() const noexcept { return Waiting.size(); }
+  [[nodiscard]] bool anyUsable() const noexcept;
+  [[nodiscard]] const upstream_load *find(upstream_id Upstream) const;
+
+private:
+  struct running_request {
+    upstream_id Upstream{};
+    std::uint64_t PromptTokens = 0;
+  };
+
+  [[nodiscard]] std::optional<upstream_id> choose(const queued_request &Request,
+                                                  instant Now) const;
+  void send(const queued_request &Request, upstream_id Upstream, instant Now);
+  void endPrefill(running_request &Running);
+  [[nodiscard]] duration coldInterval(const upstream_load &Load) const;
+  [[nodiscard]] std::optional<dispatch> takeNext(instant Now);
+
+  std::uint64_t Seed;
+  std::uint32_t Routers = 1;
+  std::map<upstream_id, upstream_load> Upstreams;
+  std::unordered_map<std::uint64_t, running_request> Running;
+  std::map<team_id, std::deque<queued_request>> Queues;
+  std::unordered_map<std::uint64_t, std::pair<team_id, instant>> Waiting;
+  std::set<std::pair<instant, std::uint64_t>> Deadlines;
+  pool::fair_queue Order;
+};
+
+} // namespace arbutus::balance
+
+namespace arbutus {
+
+template <> struct name_table<balance::call_health> {
+  using health = balance::call_health;
+  static constexpr name_row<health> Rows[] = {
+      {health::Good, "good"},       {health::Failed, "failed"},
+      {health::Refused, "refused"}, {health::Unreachable, "unreachable"},
+      {health::Neutral, "neutral"},
+  };
+};
+
+} // namespace arbutus
+
+#endif
--- /dev/null
+++ b/src/control/gateway.cpp
@@ -0,0 +1,101 @@
+#include "control/gateway.h"
+
+#include "base/log.h"
+#include "traffic/entry_addresses.h"
+#include "traffic/traffic_flow.h"
+
+namespace arbutus::control {
+
+namespace {
+
+/// Limits of what is read at all. Smaller limits are part of the fleet's
+/// configuration.
+constexpr std::size_t HardBodyBytes = std::size_t{64} << 20U;
+constexpr std::size_t HardHeaderBytes = std::size_t{64} << 10U;
+
+/// True when this router can serve callers.
+bool isReady(const router::router_context &Context) {
+  const bool Configured = Context.Routing.read([](const auto &State) {
+    return State.View->traffic().config() != nullptr;
+  });
+  return Configured && router::holdsLease(Context, monotonic_clock::now()) &&
+         Context.Drain.load() == router::drain_phase::Serving;
+}
+
+} // namespace
+
+gateway::gateway(const settings::settings &Settings,
+                 const traffic::site_adapter &Adapter,
+                 router::router_context &Context,
+                 const router::front_hooks &Hooks, router::shard &Shard)
+    : Settings(Settings), Adapter(Adapter), Context(Context), Hooks(Hooks),
+      Shard(Shard), Traffic(Context, Shard, Adapter.Codec) {
+  listen(Settings.Gateway.Requests, [this](const exchange_ptr &Exchange) {
+    traffic::handleTraffic(Traffic, Exchange);
+  });
+  listen(Settings.Gateway.Health,
+         [this](const exchange_ptr &Exchange) { answerHealth(Exchange); });
+  listen(Settings.Gateway.Addresses,
+         [this](const exchange_ptr &Exchange) { answerAddresses(Exchange); });
+  listen(Settings.Gateway.Operators,
+         [this](const exchange_ptr &Exchange) { takeOrder(Exchange); });
+}
+
+void gateway::listen(const settings::endpoint &At, net::http_handler Handler) {
+  if (At.empty()) {
+    return;
+  }
+  net::http_server_options Options;
+  Options.Address = At.Ip;
+  Options.Port = At.Port;
+  Options.HardBodyBytes = HardBodyBytes;
+  Options.HardHeaderBytes = HardHeaderBytes;
+  Servers.push_back(std::make_unique<net::http_server>(Shard.Io, Options,
+                                                       std::move(Handler)));
+}
+
+void gateway::stopAccepting() {
+  if (!Servers.empty()) {
+    Servers.front()->stopAccepting();
+  }
+}
+
+void gateway::abortAll() { traffic::abortTraffic(Traffic); }
+
+void gateway::answerHealth(const exchange_ptr &Exchange) {
+  Exchange->respond(
+      Adapter.AnswerHealth(Exchange->request(), isReady(Context)));
+}
+
+void gateway::answerAddresses(const exchange_ptr &Exchange) {
+  const auto Query = Adapter.ReadAddressQuery(Exchange->request());
+  if (!Query) {
+    Exchange->respond({404, {}, {}});
+    return;
+  }
+  const auto Nodes =
+      Context.Routing.read([](const auto &State) { return State.Nodes; });
+  Exchange->respond(Adapter.WriteAddresses(
+      traffic::entryAddresses(*Nodes, *Query), Settings.Gateway.AddressTtl));
+}
+
+void gateway::takeOrder(const exchange_ptr &Exchange) {
+  auto Plan = Adapter.PlanOrder(Exchange->request());
+  if (auto *Answer = std::get_if<net::http_response>(&Plan)) {
+    Exchange->respond(std::move(*Answer));
+    return;
+  }
+  const instant Arrived = monotonic_clock::now();
+  Hooks.CallLeader(
+      std::get<router::operator_call>(std::move(Plan)), Shard,
+      [this, Exchange, Arrived](const router::operator_answer &Answer) {
+        logEvent(log_level::Info, "order_answered",
+                 {{"method", Exchange->request().Method},
+                  {"target", Exchange->request().Target},
+                  {"status", Answer.Status},
+                  {"duration_us", toMicros(monotonic_clock::now() - Arrived)}});
+        Exchange->respond(Adapter.AnswerOrder(Exchange->request(), Answer));
+      });
+}
+
+} // namespace arbutus::control
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -16,6 +16,7 @@
   Wire.Suspected = Node.Suspected;
   Wire.Leaving = Node.Leaving;
   Wire.Applied = number(Node.Applied);
+  Wire.TrafficAddress = Node.Info.TrafficAddress;
   return Wire;
 }
 
@@ -33,6 +34,7 @@
   Node.Suspected = Wire.Suspected;
   Node.Leaving = Wire.Leaving;
   Node.Applied = revision{Wire.Applied};
+  Node.Info.TrafficAddress = Wire.TrafficAddress;
   return Node;
 }
 
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -25,9 +25,11 @@
   bool Suspected = false;
   bool Leaving = false;
   std::uint64_t Applied = 0;
+  std::string TrafficAddress;
 
   MSGPACK_DEFINE(Node, Incarnation, Name, FailureDomain, Region, HttpAddress,
-                 MeshAddress, Router, Control, Suspected, Leaving, Applied)
+                 MeshAddress, Router, Control, Suspected, Leaving, Applied,
+                 TrafficAddress)
 };
 
 [[nodiscard]] wire_node toWire(const membership::live_node &Node);
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -25,6 +25,7 @@
   Info.MeshAddress = Settings.Listen.Mesh.text();
   Info.Router = Settings.Node.Router;
   Info.Control = Settings.Node.Control;
+  Info.TrafficAddress = Settings.Gateway.Requests.text();
   return Info;
 }
 
--- a/src/control/resource_api.cpp
+++ b/src/control/resource_api.cpp
@@ -159,6 +159,53 @@
   return {store::makeCommand(std::move(Delete)), {}};
 }
 
+api_plan planConfig(const api_request_message &Call,
+                    const store::state_machine &Store) {
+  if (Call.Method == "GET") {
+    const auto Object =
+        Store.find(store::resource_kind::Configuration, store::FleetConfigName);
+    if (!Object) {
+      return {std::nullopt,
+              apiError(404, "not_found", "there is no configuration yet")};
+    }
+    return {std::nullopt,
+            {200, dump(store::toJson(*Object->as<store::fleet_config>()))}};
+  }
+  if (Call.Method != "PUT") {
+    return {std::nullopt,
+            apiError(405, "method_not_allowed", "use GET or PUT")};
+  }
+  auto Parsed = store::parseConfigText(Call.Body);
+  if (!Parsed.Errors.empty()) {
+    store::command_outcome Outcome;
+    Outcome.Code = store::outcome_code::Invalid;
+    Outcome.Errors = std::move(Parsed.Errors);
+    return {std::nullopt, answerOf(Outcome)};
+  }
+  return {store::makeCommand(
+              store::replace_config_command{std::move(Parsed.Config)}),
+          {}};
+}
+
+api_plan planDomainState(const api_request_message &Call,
+                         const api_target &Target) {
+  const auto Json = nlohmann::json::parse(Call.Body, nullptr, false);
+  const bool Valid = Call.Method == "PUT" && !Target.Name.empty() &&
+                     Json.is_object() && Json.contains("state") &&
+                     Json["state"].is_string();
+  const auto State = Valid ? valueOf<store::domain_state>(
+                                 Json["state"].get_ref<const std::string &>())
+                           : std::nullopt;
+  if (!State) {
+    return {std::nullopt,
+            apiError(400, "malformed",
+                     R"(use PUT with a name and {"state":"in"} or "out")")};
+  }
+  return {store::makeCommand(
+              store::set_domain_command{std::string(Target.Name), *State}),
+          {}};
+}
+
 } // namespace
 
 api_answer apiError(int Status, std::string_view Type,
@@ -192,6 +239,12 @@
   if (Call.Method == "GET" && Target.Kind == "watch") {
     return planWatch(Call, Store);
   }
+  if (Target.Kind == "configuration" && Target.Name.empty()) {
+    return planConfig(Call, Store);
+  }
+  if (Target.Kind == "domain_state") {
+    return planDomainState(Call, Target);
+  }
   const auto Kind = valueOf<store::resource_kind>(Target.Kind);
   if (!Kind) {
     return {std::nullopt,
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -2,6 +2,8 @@
 
 #include "base/codec.h"
 #include "base/log.h"
+#include "control/gateway.h"
+#include "control/instance_poller.h"
 #include "control/node_agent.h"
 #include "control/voter.h"
 #include "net/http_server.h"
@@ -22,9 +24,6 @@
 
 using work_guard = asio::executor_work_guard<asio::io_context::executor_type>;
 
-/// Time for an answer of the leader to an operator's call. It covers an
-/// election.
-constexpr duration ApiTimeout = 5s;
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 /// Time for the last answers to reach their callers before the process ends.
 constexpr auto LastAnswers = std::chrono::milliseconds(200);
@@ -51,6 +50,9 @@
   return Peers;
 }
 
+/// Time before the process is killed at which it ends by itself.
+constexpr duration KillMargin = 600ms;
+
 /// One I/O thread with its listener.
 struct io_thread {
   explicit io_thread(int Index) : Shard(Index), Work(Shard.Io.get_executor()) {}
@@ -58,13 +60,15 @@
   router::shard Shard;
   work_guard Work;
   std::unique_ptr<net::http_server> Server;
+  std::unique_ptr<gateway> Gateway;
   std::thread Thread;
 };
 
 /// All parts of a running process.
 class server {
 public:
-  explicit server(const settings::settings &Settings);
+  server(const settings::settings &Settings,
+         const traffic::site_adapter *Adapter);
   ~server();
   server(const server &) = delete;
   server &operator=(const server &) = delete;
@@ -75,6 +79,7 @@
 private:
   [[nodiscard]] bool startMesh();
   [[nodiscard]] bool startVoter();
+  void startDiscovery();
   [[nodiscard]] bool startShards();
   void send(node_id To, net::message_kind Kind, const std::string &Payload);
   void receive(node_id From, incarnation Incarnation, net::message_kind Kind,
@@ -88,28 +93,36 @@
   void fillGauges(router::router_metrics &Metrics);
   void waitForSignal();
   void beginDrain();
+  [[nodiscard]] std::chrono::milliseconds addressTtl();
+  /// When the process must have ended, so that it is not killed.
+  [[nodiscard]] instant stopInstant() const;
   void finishDrain();
   void checkDrained(instant Until);
   void endNow();
 
   const settings::settings &Settings;
+  /// Null when the process serves only its own interface.
+  const traffic::site_adapter *Adapter;
   asio::io_context Io;
   work_guard Work;
   asio::signal_set Signals;
   asio::steady_timer DrainTimer;
   std::unique_ptr<net::peer_mesh> Mesh;
   std::unique_ptr<voter> Voter;
+  std::unique_ptr<instance_poller> Poller;
   node_agent Agent;
   router::router_context Context;
   router::front_hooks Hooks;
   std::vector<std::unique_ptr<io_thread>> Threads;
+  instant StopAt = instant::max();
   bool Draining = false;
   bool Ending = false;
 };
 
-server::server(const settings::settings &Settings)
-    : Settings(Settings), Io(1), Work(Io.get_executor()),
-      Signals(Io, SIGTERM, SIGINT), DrainTimer(Io),
+server::server(const settings::settings &Settings,
+               const traffic::site_adapter *Adapter)
+    : Settings(Settings), Adapter(Adapter), Io(1), Work(Io.get_executor()),
+      Signals(Io, SIGTERM, SIGINT, SIGHUP), DrainTimer(Io),
       Agent(
           Io, Settings,
           [this](node_id To, net::message_kind Kind,
@@ -160,6 +173,7 @@
     return false;
   }
   Agent.start(Context);
+  startDiscovery();
   if (!startShards()) {
     return false;
   }
@@ -217,6 +231,19 @@
   return true;
 }
 
+void server::startDiscovery() {
+  if (!Voter || Adapter == nullptr || !Settings.Discovery.enabled()) {
+    return;
+  }
+  Poller = std::make_unique<instance_poller>(
+      Io, Settings.Discovery, *Adapter,
+      [this] { return Voter->status().Leader; },
+      [this](std::vector<store::named_instance> Found) {
+        Voter->postInstances(std::move(Found));
+      });
+  Poller->start();
+}
+
 bool server::startShards() {
   // Beyond the typed limit a body is still read, so that the caller gets an
   // answer; far beyond it the connection is closed.
@@ -235,6 +262,10 @@
           [this, &Shard](const std::shared_ptr<net::http_exchange> &Exchange) {
             router::handleExchange(Context, Hooks, Shard, Exchange);
           });
+      if (Adapter != nullptr && Settings.Gateway.enabled()) {
+        Thread->Gateway = std::make_unique<gateway>(Settings, *Adapter, Context,
+                                                    Hooks, Shard);
+      }
     } catch (const std::exception &Error) {
       logEvent(
           log_level::Error, "listen_failed",
@@ -310,7 +341,8 @@
     Message.Target = std::move(Call.Target);
     Message.Body = std::move(Call.Body);
     Message.RequestId = std::move(Call.RequestId);
-    Agent.leader().call(std::move(Message), ApiTimeout,
+    const duration Timeout = Call.Timeout;
+    Agent.leader().call(std::move(Message), Timeout,
                         [&Shard, Callback = std::move(Callback)](
                             const std::optional<api_reply_message> &Reply) {
                           router::operator_answer Answer;
@@ -375,10 +407,16 @@
 }
 
 void server::waitForSignal() {
-  Signals.async_wait([this](const asio::error_code &Error, int) {
+  Signals.async_wait([this](const asio::error_code &Error, int Signal) {
     if (Error) {
       return;
     }
+    if (Signal == SIGHUP) {
+      logEvent(log_level::Info, "reload_requested",
+               {{"file", Settings.File.string()}});
+      waitForSignal();
+      return;
+    }
     if (Draining) {
       endNow();
       return;
@@ -392,12 +430,11 @@
   Draining = true;
   Context.Drain = router::drain_phase::Leaving;
   Agent.announceLeaving();
-  const auto Ttl = Context.Routing.read([](const auto &State) {
-    return State.View->policyValues().AddressTtlMs;
-  });
-  logEvent(log_level::Info, "drain_started", {{"address_ttl_ms", Ttl}});
+  StopAt = stopInstant();
+  const std::chrono::milliseconds Ttl = addressTtl();
+  logEvent(log_level::Info, "drain_started", {{"address_ttl_ms", Ttl.count()}});
   // Callers may keep an address answer for this long and still come here.
-  DrainTimer.expires_after(std::chrono::milliseconds(Ttl));
+  DrainTimer.expires_after(Ttl);
   DrainTimer.async_wait([this](const asio::error_code &Error) {
     if (!Error) {
       finishDrain();
@@ -405,9 +442,32 @@
   });
 }
 
+std::chrono::milliseconds server::addressTtl() {
+  if (Settings.Gateway.enabled()) {
+    return Settings.Gateway.AddressTtl;
+  }
+  return std::chrono::milliseconds(Context.Routing.read([](const auto &State) {
+    return State.View->policyValues().AddressTtlMs;
+  }));
+}
+
+instant server::stopInstant() const {
+  if (Settings.Limits.KilledAfter.count() == 0) {
+    return instant::max();
+  }
+  return monotonic_clock::now() + Settings.Limits.KilledAfter - KillMargin;
+}
+
 void server::finishDrain() {
   Context.Drain = router::drain_phase::Finishing;
-  checkDrained(monotonic_clock::now() + Settings.Limits.Drain);
+  for (const auto &Thread : Threads) {
+    if (Thread->Gateway) {
+      asio::post(Thread->Shard.Io,
+                 [&Gateway = *Thread->Gateway] { Gateway.stopAccepting(); });
+    }
+  }
+  checkDrained(
+      std::min(StopAt, monotonic_clock::now() + Settings.Limits.Drain));
 }
 
 void server::checkDrained(instant Until) {
@@ -432,8 +492,12 @@
   logEvent(log_level::Info, "ending",
            {{"active_requests", Context.ActiveRequests.load()}});
   for (const auto &Thread : Threads) {
-    asio::post(Thread->Shard.Io,
-               [&Shard = Thread->Shard] { router::abortRequests(Shard); });
+    asio::post(Thread->Shard.Io, [&Thread = *Thread] {
+      router::abortRequests(Thread.Shard);
+      if (Thread.Gateway) {
+        Thread.Gateway->abortAll();
+      }
+    });
   }
   DrainTimer.expires_after(LastAnswers);
   DrainTimer.async_wait([this](const asio::error_code &) { Io.stop(); });
@@ -441,9 +505,10 @@
 
 } // namespace
 
-int runServer(const settings::settings &Settings) {
+int runServer(const settings::settings &Settings,
+              const traffic::site_adapter *Adapter) {
   openLog(Settings.Log.Path.string(), Settings.Log.Level, Settings.Node.Name);
-  server Server(Settings);
+  server Server(Settings, Adapter);
   if (!Server.start()) {
     flushLog();
     return 1;
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -6,6 +6,7 @@
 #include "control/leader_duties.h"
 #include "control/resource_api.h"
 #include "storage/storage.h"
+#include "store/instance_diff.h"
 #include "store/state_machine.h"
 
 #include <condition_variable>
@@ -24,6 +25,9 @@
 /// Applied entries after which a snapshot is saved. A restart replays at most
 /// this many, however many changes there were before.
 constexpr std::uint64_t EntriesPerSnapshot = 2000;
+/// Size of the log after which a snapshot is saved earlier: entries that hold
+/// whole configurations fill a small disk long before the count is reached.
+constexpr std::uint64_t MostLogBytes = std::uint64_t{8} << 20U;
 /// Commands that go into one log entry.
 constexpr std::size_t MostCommandsPerEntry = 1000;
 
@@ -57,6 +61,7 @@
   void handleHeartbeat(const voter_frame &Frame, instant Now);
   void handleCommand(const voter_frame &Frame, instant Now);
   void handleApi(const voter_frame &Frame, instant Now);
+  void syncInstances(const std::vector<store::named_instance> &Found);
   void step(const consensus::input &Input, instant Now);
   void propose(instant Now);
   void carryOut(instant Now);
@@ -86,6 +91,7 @@
   mutable std::mutex Mutex;
   std::condition_variable Wake;
   std::vector<voter_frame> Inbox;
+  std::optional<std::vector<store::named_instance>> FoundInstances;
   bool Stopping = false;
   voter_status Status;
   std::thread Thread;
@@ -129,6 +135,7 @@
 void voter::state::run() {
   while (true) {
     std::vector<voter_frame> Frames;
+    std::optional<std::vector<store::named_instance>> Found;
     {
       std::unique_lock Lock(Mutex);
       Wake.wait_for(Lock, TickInterval,
@@ -137,6 +144,7 @@
         return;
       }
       Frames.swap(Inbox);
+      Found = std::exchange(FoundInstances, std::nullopt);
     }
     instant Now = monotonic_clock::now();
     if (Failed) {
@@ -164,6 +172,9 @@
       for (auto &Command : Duties.tick(Term, Store, Now)) {
         Queue.push_back({std::move(Command), {}});
       }
+      if (Found) {
+        syncInstances(*Found);
+      }
     } else {
       Duties.stop();
     }
@@ -243,6 +254,18 @@
   Send(Source.Node, net::message_kind::ApiReply, encode(Reply));
 }
 
+void voter::state::syncInstances(
+    const std::vector<store::named_instance> &Found) {
+  auto Sync =
+      store::diffInstances(Store.list(store::resource_kind::Instance), Found);
+  if (!Sync) {
+    return;
+  }
+  logEvent(log_level::Info, "instances_changed",
+           {{"changed", Sync->Changed.size()}, {"gone", Sync->Gone.size()}});
+  Queue.push_back({store::makeCommand(std::move(*Sync)), {}});
+}
+
 void voter::state::step(const consensus::input &Input, instant Now) {
   auto Output = Raft.step(Input, Now);
   for (const auto &Message : Output.EarlyMessages) {
@@ -376,7 +399,9 @@
 }
 
 void voter::state::saveSnapshot(instant Now) {
-  if (Failed || Applied < SnapshotAt + EntriesPerSnapshot) {
+  const bool Due = Applied >= SnapshotAt + EntriesPerSnapshot ||
+                   (Applied > SnapshotAt && Log.logBytes() > MostLogBytes);
+  if (Failed || !Due) {
     return;
   }
   const auto Meta = Raft.snapshotMeta(Applied);
@@ -454,8 +479,33 @@
   return outcome::success();
 }
 
+namespace {
+
+/// At the first start of the whole fleet, makes this node one of the first
+/// voters if it is listed as one.
+storage::storage_result<void>
+bootstrapIfFirst(const settings::settings &Settings) {
+  const auto &Voters = Settings.Fleet.Control;
+  const bool Listed =
+      std::any_of(Voters.begin(), Voters.end(), [&](const auto &Voter) {
+        return Voter.Id == Settings.Node.Id;
+      });
+  if (!Settings.Fleet.Bootstrap || !Listed) {
+    return outcome::success();
+  }
+  auto Created = initializeVoter(Settings);
+  if (Created.has_error() &&
+      Created.error().Code == storage::storage_errc::AlreadyStarted) {
+    return outcome::success();
+  }
+  return Created;
+}
+
+} // namespace
+
 storage::storage_result<std::unique_ptr<voter>>
 voter::start(const settings::settings &Settings, const send_function &Send) {
+  BOOST_OUTCOME_TRY(bootstrapIfFirst(Settings));
   auto Opened = storage::durable_log::open(openOptions(Settings));
   if (Opened.has_error()) {
     return Opened.error();
@@ -486,6 +536,14 @@
   State->Wake.notify_one();
 }
 
+void voter::postInstances(std::vector<store::named_instance> Found) {
+  {
+    const std::lock_guard Lock(State->Mutex);
+    State->FoundInstances = std::move(Found);
+  }
+  State->Wake.notify_one();
+}
+
 voter_status voter::status() const {
   const std::lock_guard Lock(State->Mutex);
   return State->Status;
--- a/src/control/voter.h
+++ b/src/control/voter.h
@@ -5,10 +5,12 @@
 #include "net/message_kind.h"
 #include "settings/settings.h"
 #include "storage/storage_error.h"
+#include "store/commands.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace arbutus::control {
 
@@ -56,6 +58,10 @@
   /// Hands a frame over; safe from any thread, never blocks for I/O.
   void post(voter_frame Frame);
 
+  /// Hands over what discovery has found; a voter that does not lead ignores
+  /// it. Safe from any thread.
+  void postInstances(std::vector<store::named_instance> Found);
+
   [[nodiscard]] voter_status status() const;
 
 private:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 #include "cli/cli.h"
 #include "control/server.h"
 #include "control/voter.h"
+#include "platform/platform.h"
 
 #include <iostream>
 
@@ -20,5 +21,9 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
-  return arbutus::cli::run(Argc, Argv, arbutus::control::runServer, initialize);
+  const auto Serve = [](const arbutus::settings::settings &Settings) {
+    return arbutus::control::runServer(Settings,
+                                       &arbutus::platform::siteAdapter());
+  };
+  return arbutus::cli::run(Argc, Argv, Serve, initialize);
 }
--- a/src/membership/node_session.h
+++ b/src/membership/node_session.h
@@ -22,6 +22,9 @@
   std::string MeshAddress;
   bool Router = false;
   bool Control = false;
+  /// `ip:port` for callers whose requests are routed by host and path; empty
+  /// if the node does not serve them.
+  std::string TrafficAddress;
 
   friend bool operator==(const node_info &, const node_info &) = default;
 };
--- /dev/null
+++ b/src/net/client_connection.cpp
@@ -0,0 +1,400 @@
+#include "net/client_connection.h"
+
+#include "base/log.h"
+#include <asio/connect.hpp>
+#include <asio/write.hpp>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace arbutus::net::impl {
+
+namespace {
+
+/// Unacknowledged data older than this ends a connection, so that one whose
+/// peer has lost power or gone silent does not hang for minutes.
+constexpr int UnacknowledgedTimeoutMs = 5000;
+/// How long a connection is kept when the server does not say.
+constexpr duration DefaultKeepAlive = 4s;
+/// A connection is given up this long before the server's own idle timeout,
+/// so that a request does not cross the server's close.
+constexpr duration KeepAliveMargin = 700ms;
+
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+bool hasBody(const http_call &Call) {
+  return !Call.Body.empty() || Call.Method == "POST" || Call.Method == "PUT" ||
+         Call.Method == "PATCH";
+}
+
+/// Authority and target of `http://authority/target`.
+struct url_parts {
+  std::string_view Authority;
+  std::string_view Target;
+};
+
+url_parts splitUrl(std::string_view Url) {
+  static constexpr std::string_view Scheme = "http://";
+  if (Url.substr(0, Scheme.size()) == Scheme) {
+    Url.remove_prefix(Scheme.size());
+  }
+  const auto Slash = Url.find('/');
+  if (Slash == std::string_view::npos) {
+    return {Url, "/"};
+  }
+  return {Url.substr(0, Slash), Url.substr(Slash)};
+}
+
+std::string requestText(const http_call &Call) {
+  const auto [Authority, Target] = splitUrl(Call.Url);
+  std::string Text;
+  Text.reserve(512 + Call.Body.size());
+  Text.append(Call.Method).append(" ").append(Target).append(" HTTP/1.1\r\n");
+  if (headerOf(Call.Headers, "Host").empty()) {
+    Text.append("Host: ").append(Authority).append("\r\n");
+  }
+  for (const auto &[Name, Value] : Call.Headers) {
+    Text.append(Name).append(": ").append(Value).append("\r\n");
+  }
+  if (hasBody(Call)) {
+    Text.append("Content-Length: ")
+        .append(std::to_string(Call.Body.size()))
+        .append("\r\n");
+  }
+  Text.append("\r\n").append(Call.Body);
+  return Text;
+}
+
+/// Seconds of `Keep-Alive: timeout=N`, or nothing.
+std::optional<duration> keepAliveOf(const http_headers &Headers) {
+  const std::string_view Value = headerOf(Headers, "Keep-Alive");
+  const auto At = Value.find("timeout=");
+  if (At == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int Seconds = 0;
+  const std::string_view Digits = Value.substr(At + 8);
+  const auto Parsed =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds);
+  if (Parsed.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(Seconds);
+}
+
+} // namespace
+
+client_connection::client_connection(asio::io_context &Io,
+                                     asio::ip::tcp::endpoint Server)
+    : Socket(Io), Server(std::move(Server)), Timer(Io) {}
+
+void client_connection::start(http_call NewCall, end_function NewOnEnd) {
+  Call = std::move(NewCall);
+  OnEnd = std::move(NewOnEnd);
+  OnIdleEnd = nullptr;
+  Request = requestText(Call);
+  Written = AnySent = AnswerBegun = AnswerDone = SkipAnswer = false;
+  Deadline = monotonic_clock::now() + Call.Timeout;
+  http_parser_init(&Parser, HTTP_RESPONSE);
+  Parser.data = this;
+  resetAnswer();
+  if (Connected) {
+    armCallTimer();
+    write();
+  } else {
+    connect();
+  }
+}
+
+void client_connection::connect() {
+  asio::error_code Error;
+  Socket.open(Server.protocol(), Error);
+  if (Error) {
+    logEvent(log_level::Warning, "socket_failed",
+             {{"reason", Error.message()}});
+    asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+      Self->end(call_outcome::NothingSent);
+    });
+    return;
+  }
+  // Best effort: without these options only the reaction to faults is slower.
+  Socket.set_option(asio::ip::tcp::no_delay(true), Error);
+  Socket.set_option(user_timeout(UnacknowledgedTimeoutMs), Error);
+  Timer.expires_after(std::min(Call.ConnectTimeout, Call.Timeout));
+  Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
+    if (!Code && !Self->Connected) {
+      Self->end(call_outcome::NothingSent);
+    }
+  });
+  Socket.async_connect(
+      Server, [Self = shared_from_this()](const asio::error_code &Code) {
+        if (Self->Closed) {
+          return;
+        }
+        if (Code) {
+          Self->end(call_outcome::NothingSent);
+          return;
+        }
+        Self->Connected = true;
+        Self->armCallTimer();
+        Self->write();
+      });
+}
+
+void client_connection::armCallTimer() {
+  Timer.expires_after(
+      std::max<duration>(Deadline - monotonic_clock::now(), 0ms));
+  Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
+    if (Code || Self->Closed || !Self->OnEnd ||
+        monotonic_clock::now() < Self->Deadline) {
+      return;
+    }
+    Self->end(Self->AnySent ? call_outcome::DeadlinePassed
+                            : call_outcome::NothingSent);
+  });
+}
+
+void client_connection::write() {
+  Writing = true;
+  AnySent = true;
+  asio::async_write(Socket, asio::buffer(Request),
+                    [Self = shared_from_this()](const asio::error_code &Code,
+                                                std::size_t Bytes) {
+                      Self->Writing = false;
+                      if (Self->Closed) {
+                        return;
+                      }
+                      if (Code && Bytes == 0) {
+                        Self->AnySent = false;
+                        Self->end(call_outcome::NothingSent);
+                        return;
+                      }
+                      // After a partial write the reading side reports what the
+                      // server says.
+                      Self->Written = !Code;
+                    });
+  if (!Reading) {
+    read();
+  }
+}
+
+void client_connection::read() {
+  Reading = true;
+  Socket.async_read_some(asio::buffer(Buffer),
+                         [Self = shared_from_this()](
+                             const asio::error_code &Code, std::size_t Bytes) {
+                           Self->Reading = false;
+                           if (Self->Closed) {
+                             return;
+                           }
+                           if (!Self->OnEnd) {
+                             Self->onIdleRead();
+                           } else if (Code) {
+                             Self->onReadEnd(Code);
+                           } else {
+                             Self->onRead({Self->Buffer.data(), Bytes});
+                           }
+                         });
+}
+
+void client_connection::onRead(std::string_view Bytes) {
+  static const http_parser_settings Settings = parserSettings();
+  const auto Self = shared_from_this();
+  const std::size_t Used =
+      http_parser_execute(&Parser, &Settings, Bytes.data(), Bytes.size());
+  if (Closed) {
+    return;
+  }
+  if (AnswerDone) {
+    Stray = Used < Bytes.size();
+    end(call_outcome::Complete);
+    return;
+  }
+  if (HTTP_PARSER_ERRNO(&Parser) != HPE_OK) {
+    logEvent(log_level::Info, "answer_unreadable",
+             {{"server", Server.address().to_string()},
+              {"reason", http_errno_name(HTTP_PARSER_ERRNO(&Parser))}});
+    end(AnswerBegun ? call_outcome::AnswerBroken : call_outcome::SentNoAnswer);
+    return;
+  }
+  read();
+}
+
+void client_connection::onReadEnd(const asio::error_code &Error) {
+  static const http_parser_settings Settings = parserSettings();
+  const auto Self = shared_from_this();
+  if (Error == asio::error::eof) {
+    // An answer without a length is complete when its connection ends.
+    http_parser_execute(&Parser, &Settings, nullptr, 0);
+    if (Closed) {
+      return;
+    }
+    if (AnswerDone) {
+      Stray = true;
+      end(call_outcome::Complete);
+      return;
+    }
+  }
+  end(AnswerBegun ? call_outcome::AnswerBroken : call_outcome::SentNoAnswer);
+}
+
+void client_connection::onIdleRead() {
+  const auto Callback = std::move(OnIdleEnd);
+  close();
+  if (Callback) {
+    Callback();
+  }
+}
+
+void client_connection::end(call_outcome Outcome) {
+  if (!OnEnd) {
+    return;
+  }
+  const auto Self = shared_from_this();
+  const auto Callback = std::exchange(OnEnd, nullptr);
+  call_end End;
+  End.Outcome = Outcome;
+  if (Outcome == call_outcome::Complete) {
+    End.ReusableUntil = reusableUntil();
+  }
+  Timer.cancel();
+  if (!End.ReusableUntil) {
+    close();
+  }
+  Callback(End);
+}
+
+std::optional<instant> client_connection::reusableUntil() const {
+  if (Call.FreshConnection || Stray || !Written ||
+      http_should_keep_alive(&Parser) == 0) {
+    return std::nullopt;
+  }
+  const duration Kept = keepAliveOf(Headers).value_or(DefaultKeepAlive);
+  if (Kept <= KeepAliveMargin) {
+    return std::nullopt;
+  }
+  return monotonic_clock::now() + Kept - KeepAliveMargin;
+}
+
+void client_connection::waitIdle(instant Until, idle_end_function Callback) {
+  IdleUntil = Until;
+  OnIdleEnd = std::move(Callback);
+  Call = {};
+  Request.clear();
+  Request.shrink_to_fit();
+  Timer.expires_after(std::max<duration>(Until - monotonic_clock::now(), 0ms));
+  Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
+    if (!Code && !Self->Closed && !Self->OnEnd &&
+        monotonic_clock::now() >= Self->IdleUntil) {
+      Self->onIdleRead();
+    }
+  });
+  if (!Reading) {
+    read();
+  }
+}
+
+void client_connection::close() noexcept {
+  Closed = true;
+  OnEnd = nullptr;
+  OnIdleEnd = nullptr;
+  asio::error_code Ignored; // there is nothing left to do with the socket
+  Socket.close(Ignored);
+  Timer.cancel();
+}
+
+void client_connection::resetAnswer() {
+  Headers.clear();
+  Field.clear();
+  Value.clear();
+  InValue = false;
+}
+
+void client_connection::noteHeader() {
+  if (!Field.empty()) {
+    Headers.emplace_back(std::move(Field), std::move(Value));
+  }
+  Field.clear();
+  Value.clear();
+  InValue = false;
+}
+
+client_connection &client_connection::of(http_parser *Parser) noexcept {
+  return *static_cast<client_connection *>(Parser->data);
+}
+
+http_parser_settings client_connection::parserSettings() noexcept {
+  http_parser_settings Settings{};
+  Settings.on_message_begin = [](http_parser *Parser) {
+    of(Parser).resetAnswer();
+    return 0;
+  };
+  Settings.on_header_field = [](http_parser *Parser, const char *At,
+                                std::size_t Size) {
+    auto &Self = of(Parser);
+    if (Self.InValue) {
+      Self.noteHeader();
+    }
+    Self.Field.append(At, Size);
+    return 0;
+  };
+  Settings.on_header_value = [](http_parser *Parser, const char *At,
+                                std::size_t Size) {
+    auto &Self = of(Parser);
+    Self.InValue = true;
+    Self.Value.append(At, Size);
+    return 0;
+  };
+  Settings.on_headers_complete = [](http_parser *Parser) {
+    return of(Parser).onHeadersComplete();
+  };
+  Settings.on_body = [](http_parser *Parser, const char *At, std::size_t Size) {
+    auto &Self = of(Parser);
+    if (!Self.SkipAnswer && Self.Call.OnBody) {
+      Self.Call.OnBody({At, Size});
+    }
+    return Self.Closed ? 1 : 0;
+  };
+  Settings.on_message_complete = [](http_parser *Parser) {
+    return of(Parser).onMessageComplete();
+  };
+  return Settings;
+}
+
+int client_connection::onHeadersComplete() {
+  noteHeader();
+  const int Status = Parser.status_code;
+  if (Status < 200) {
+    return 0;
+  }
+  SkipAnswer = Call.IsAnswer && !Call.IsAnswer(Headers);
+  if (SkipAnswer) {
+    Stray = true;
+    logEvent(log_level::Info, "stray_answer",
+             {{"server", Server.address().to_string()}, {"status", Status}});
+    return 0;
+  }
+  AnswerBegun = true;
+  if (Call.OnHeaders) {
+    Call.OnHeaders(Status, Headers);
+  }
+  // 1 tells the parser that no body follows.
+  return Call.Method == "HEAD" ? 1 : 0;
+}
+
+int client_connection::onMessageComplete() {
+  if (Parser.status_code < 200) {
+    return 0;
+  }
+  if (SkipAnswer) {
+    SkipAnswer = false;
+    return 0;
+  }
+  AnswerDone = true;
+  http_parser_pause(&Parser, 1);
+  return 0;
+}
+
+} // namespace arbutus::net::impl
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -19,14 +19,16 @@
   http_headers Headers;
   std::string Body;
 
-  /// Uses a connection of its own. libcurl sends a request again by itself
-  /// when a reused connection closes before the answer's first byte, which
-  /// would run a non-idempotent request twice.
+  /// Uses a connection of its own, which is closed after the call.
   bool FreshConnection = false;
 
   duration ConnectTimeout = 500ms;
   duration Timeout = 60s; ///< for the whole call
 
+  /// Says whether an answer belongs to this call. A server may send an extra
+  /// answer late on a kept connection; such a one is skipped, and the next is
+  /// waited for. Every answer belongs to the call when this is empty.
+  std::function<bool(const http_headers &)> IsAnswer;
   std::function<void(int Status, const http_headers &)> OnHeaders;
   std::function<void(std::string_view)> OnBody;
   std::function<void(call_outcome)> OnDone;
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -35,6 +35,10 @@
   /// Ends the chunked answer.
   virtual void endStream() = 0;
 
+  /// Ends a begun answer by closing the connection, so that the caller sees
+  /// that it is incomplete.
+  virtual void abort() = 0;
+
   /// True once an answer was begun or sent.
   [[nodiscard]] virtual bool answered() const noexcept = 0;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -53,7 +53,8 @@
 class exchange_impl final : public http_exchange {
 public:
   exchange_impl(restinio::request_handle_t Handle, open_exchanges &Open)
-      : Handle(std::move(Handle)), Open(&Open) {
+      : Handle(std::move(Handle)), Open(&Open),
+        Connection(restinio::impl::access_req_connection(*this->Handle)) {
     const auto &Header = this->Handle->header();
     Request.Method = Header.method().c_str();
     Request.Target = Header.request_target();
@@ -121,6 +122,16 @@
     }
   }
 
+  void abort() override {
+    if (!Stream || Finished) {
+      return;
+    }
+    Finished = true;
+    Disconnected = nullptr;
+    release();
+    closeConnection();
+  }
+
   bool answered() const noexcept override { return Answered; }
 
   void onDisconnect(std::function<void()> Callback) override {
@@ -168,8 +179,22 @@
     }
   }
 
+  /// RESTinio has no call that closes a connection in the middle of an answer,
+  /// but it lets a protocol upgrade take the socket; the taken socket is closed
+  /// at once.
+  void closeConnection() {
+    using connection = restinio::impl::connection_t<server_traits>;
+    const auto Strong = Connection.lock();
+    if (auto *Concrete = dynamic_cast<connection *>(Strong.get())) {
+      auto Taken = Concrete->move_upgrade_internals();
+      asio::error_code Ignored; // the socket is gone either way
+      Taken.m_socket.close(Ignored);
+    }
+  }
+
   restinio::request_handle_t Handle;
   open_exchanges *Open;
+  std::weak_ptr<restinio::impl::connection_base_t> Connection;
   http_request Request;
   std::optional<chunked_builder> Stream;
   std::function<void()> Disconnected;
--- a/src/router/front.h
+++ b/src/router/front.h
@@ -18,6 +18,8 @@
   std::string Target;
   std::string Body;
   std::string RequestId;
+  /// Time for the leader's answer. The default covers an election.
+  duration Timeout = 5s;
 };
 
 /// Answer to an operator's call; status 0 when none came in time.
--- a/src/settings/endpoint.cpp
+++ b/src/settings/endpoint.cpp
@@ -51,4 +51,12 @@
   return endpoint{std::move(Ip), *Port};
 }
 
+std::optional<node_id> nodeOfAddress(std::string_view Ip) {
+  in_addr Address{};
+  if (inet_pton(AF_INET, std::string(Ip).c_str(), &Address) != 1) {
+    return std::nullopt;
+  }
+  return node_id{ntohl(Address.s_addr)};
+}
+
 } // namespace arbutus::settings
--- a/src/settings/endpoint.h
+++ b/src/settings/endpoint.h
@@ -1,6 +1,8 @@
 #ifndef ARBUTUS_SETTINGS_ENDPOINT_H
 #define ARBUTUS_SETTINGS_ENDPOINT_H
 
+#include "base/ids.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +27,9 @@
 /// Reads `1.2.3.4:80` or `[::1]:80`; nothing on any other text.
 [[nodiscard]] std::optional<endpoint> parseEndpoint(std::string_view Text);
 
+/// Node number that stands for an IPv4 address; nothing for any other text.
+[[nodiscard]] std::optional<node_id> nodeOfAddress(std::string_view Ip);
+
 } // namespace arbutus::settings
 
 #endif
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -23,6 +23,10 @@
 constexpr impl::integer_range HeaderSizes{1024, 1048576};
 constexpr impl::integer_range BodySizes{1024, 1073741824};
 constexpr impl::integer_range DrainSeconds{1, 3600};
+constexpr impl::integer_range KillSeconds{0, 3600};
+constexpr impl::integer_range PortNumbers{1, 65535};
+constexpr impl::integer_range TtlMillis{100, 3600000};
+constexpr impl::integer_range PollMillis{50, 60000};
 constexpr std::size_t Sha256HexDigits = 64;
 /// Bounds memory when the path names a wrong file.
 constexpr std::size_t LongestFileBytes = std::size_t{4} << 20U;
@@ -64,9 +68,9 @@
   }
 }
 
-void readNode(table_reader Reader, node_settings &Node,
+void readNode(table_reader Reader, node_settings &Node, presence IdPresence,
               impl::error_list &Errors) {
-  assign(Node.Id, Reader.integer("id", NodeNumbers, presence::Required));
+  assign(Node.Id, Reader.integer("id", NodeNumbers, IdPresence));
   Node.Name = Reader.name("name", presence::Optional)
                   .value_or("node-" + std::to_string(number(Node.Id)));
   readRoles(Reader, Node, Errors);
@@ -90,8 +94,9 @@
   Reader.finish();
 }
 
-void readKey(table_reader &Reader, fleet_settings &Fleet) {
-  assign(Fleet.KeyFile, Reader.path("key_file", presence::Required));
+void readKey(table_reader &Reader, fleet_settings &Fleet,
+             presence KeyPresence) {
+  assign(Fleet.KeyFile, Reader.path("key_file", KeyPresence));
   if (Fleet.KeyFile.empty()) {
     return;
   }
@@ -147,12 +152,70 @@
   }
 }
 
+/// The voters by the addresses of their VMs. The port of a seed is replaced by
+/// the mesh port, which is the same on all VMs.
+void readSeeds(table_reader &Reader, fleet_settings &Fleet,
+               impl::error_list &Errors) {
+  const auto Port =
+      Reader.integer("seed_mesh_port", PortNumbers, presence::Required);
+  for (const auto &Text : Reader.texts("seeds", presence::Required)) {
+    const auto Seed = parseEndpoint(Text.Value);
+    const auto Id = Seed ? nodeOfAddress(Seed->Ip) : std::nullopt;
+    if (!Id) {
+      Errors.add(Text.Line, Text.Key, code::InvalidValue,
+                 "\"" + Text.Value + "\" is not an IPv4 address and port");
+      continue;
+    }
+    const endpoint Mesh{Seed->Ip, static_cast<std::uint16_t>(Port.value_or(1))};
+    Fleet.Control.push_back({*Id, Mesh});
+  }
+}
+
 void readFleet(table_reader Reader, settings &Settings,
                impl::error_list &Errors) {
   auto &Fleet = Settings.Fleet;
-  readKey(Reader, Fleet);
+  const bool BySeeds = Reader.has("seeds");
+  readKey(Reader, Fleet, BySeeds ? presence::Optional : presence::Required);
   readKeyHashes(Reader, Fleet, Errors);
-  readVoters(Reader, Fleet);
+  if (BySeeds) {
+    readSeeds(Reader, Fleet, Errors);
+  } else {
+    readVoters(Reader, Fleet);
+  }
+  assign(Fleet.Bootstrap, Reader.boolean("bootstrap"));
+  Reader.finish();
+}
+
+/// Without a number of its own a node takes that of its mesh address.
+void deriveNodeId(settings &Settings, impl::error_list &Errors) {
+  if (number(Settings.Node.Id) != 0 || Settings.Listen.Mesh.empty()) {
+    return;
+  }
+  if (const auto Id = nodeOfAddress(Settings.Listen.Mesh.Ip)) {
+    Settings.Node.Id = *Id;
+  } else {
+    Errors.add(0, "node.id", code::MissingKey,
+               "is needed when listen.mesh is not an IPv4 address");
+  }
+}
+
+void readGateway(table_reader Reader, gateway_settings &Gateway) {
+  assign(Gateway.Requests,
+         Reader.address("requests", presence::Optional, true));
+  assign(Gateway.Health, Reader.address("health", presence::Optional, true));
+  assign(Gateway.Operators,
+         Reader.address("operators", presence::Optional, true));
+  assign(Gateway.Addresses,
+         Reader.address("addresses", presence::Optional, true));
+  assign(Gateway.AddressTtl,
+         Reader.integer("address_ttl_ms", TtlMillis, presence::Optional));
+  Reader.finish();
+}
+
+void readDiscovery(table_reader Reader, discovery_settings &Discovery) {
+  assign(Discovery.Server, Reader.address("server", presence::Optional, false));
+  assign(Discovery.Interval,
+         Reader.integer("interval_ms", PollMillis, presence::Optional));
   Reader.finish();
 }
 
@@ -228,6 +291,8 @@
          Reader.integer("body_bytes", BodySizes, presence::Optional));
   assign(Limits.Drain,
          Reader.integer("drain_seconds", DrainSeconds, presence::Optional));
+  assign(Limits.KilledAfter, Reader.integer("killed_after_seconds", KillSeconds,
+                                            presence::Optional));
   Reader.finish();
 }
 
@@ -236,9 +301,17 @@
   settings Settings;
   Settings.File = File;
   table_reader Root(&Document, "", 1, Errors);
-  readNode(Root.table("node"), Settings.Node, Errors);
+  // Where voters are found by address, nodes are numbered by address too.
+  const bool BySeeds = Document["fleet"]["seeds"].is_array();
+  readNode(Root.table("node"), Settings.Node,
+           BySeeds ? presence::Optional : presence::Required, Errors);
   readListen(Root.table("listen"), Settings.Listen);
+  if (BySeeds) {
+    deriveNodeId(Settings, Errors);
+  }
   readFleet(Root.table("fleet"), Settings, Errors);
+  readGateway(Root.table("gateway"), Settings.Gateway);
+  readDiscovery(Root.table("discovery"), Settings.Discovery);
   readPeers(Root, Settings);
   readLog(Root.table("log"), Settings.Log);
   readLimits(Root.table("limits"), Settings.Limits);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -46,11 +46,39 @@
 struct fleet_settings {
   std::filesystem::path KeyFile;
   /// Content of the key file without trailing line ends; at least 16 bytes.
+  /// Empty without a key file: then any process that reaches the mesh is
+  /// trusted.
   std::string Key;
   /// Lower-case hexadecimal SHA-256 of each operator key.
   std::vector<std::string> OperatorKeyHashes;
-  /// The voters, in the order of the file.
+  /// The voters, in the order of the file. With `seeds` in place of `control`
+  /// their numbers come from their addresses.
   std::vector<voter_settings> Control;
+  /// True at the first start of the whole fleet: a voter then creates its data
+  /// directory by itself.
+  bool Bootstrap = false;
+};
+
+/// `[gateway]`: listeners for traffic that is routed by host and path, each
+/// for one kind of caller. Empty endpoints are not served.
+struct gateway_settings {
+  endpoint Requests;
+  endpoint Health;
+  endpoint Operators;
+  endpoint Addresses;
+  /// How long callers may keep an address answer.
+  std::chrono::milliseconds AddressTtl{2000};
+
+  [[nodiscard]] bool enabled() const noexcept { return !Requests.empty(); }
+};
+
+/// `[discovery]`: where the list of upstream instances is read.
+struct discovery_settings {
+  endpoint Server;
+  /// Time between two reads of the whole list.
+  std::chrono::milliseconds Interval{400};
+
+  [[nodiscard]] bool enabled() const noexcept { return !Server.empty(); }
 };
 
 /// One `[[peer]]` table: another process that this one dials.
@@ -72,6 +100,9 @@
   std::size_t HeaderBytes = 16384;
   std::size_t BodyBytes = 1048576;
   std::chrono::seconds Drain{30};
+  /// Time from the request to stop until the process is killed, or 0 if it is
+  /// not. A shutdown ends before it.
+  std::chrono::seconds KilledAfter{0};
 };
 
 /// `[testing]`
@@ -87,6 +118,8 @@
   listen_settings Listen;
   fleet_settings Fleet;
   std::vector<peer_settings> Peers;
+  gateway_settings Gateway;
+  discovery_settings Discovery;
   log_settings Log;
   limit_settings Limits;
   testing_settings Testing;
--- a/src/settings/table_reader.cpp
+++ b/src/settings/table_reader.cpp
@@ -229,6 +229,10 @@
               std::move(Reason), std::move(Suggestion));
 }
 
+bool table_reader::has(const std::string &Key) {
+  return find(Key, presence::Optional) != nullptr;
+}
+
 void table_reader::finish() {
   if (Table == nullptr) {
     return;
--- a/src/settings/table_reader.h
+++ b/src/settings/table_reader.h
@@ -66,6 +66,8 @@
   [[nodiscard]] std::vector<table_reader> tables(const std::string &Key,
                                                  presence Presence);
 
+  /// True if the table has this key; it then counts as known.
+  [[nodiscard]] bool has(const std::string &Key);
   /// Records a fault of a key, at the key's line if it is present.
   void fail(const std::string &Key, settings_error_code Code,
             std::string Reason, std::string Suggestion = {});
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -133,11 +133,47 @@
   MSGPACK_DEFINE(LeaderTimeMs)
 };
 
+/// Replaces the fleet configuration if its version is higher than the one in
+/// force. A configuration that is not higher changes nothing and succeeds, so
+/// that a resend is acknowledged again.
+struct replace_config_command {
+  fleet_config Config;
+
+  MSGPACK_DEFINE(Config)
+};
+
+/// Takes a failure domain out of service or back, whatever its state was. A
+/// domain that is not known yet is created.
+struct set_domain_command {
+  std::string Name;
+  domain_state State = domain_state::In;
+
+  MSGPACK_DEFINE(Name, State)
+};
+
+/// An instance with its name.
+struct named_instance {
+  std::string Name;
+  instance Spec;
+
+  bool operator==(const named_instance &) const = default;
+  MSGPACK_DEFINE(Name, Spec)
+};
+
+/// Brings the instances up to date with what discovery has found.
+struct sync_instances_command {
+  std::vector<named_instance> Changed;
+  std::vector<std::string> Gone;
+
+  MSGPACK_DEFINE(Changed, Gone)
+};
+
 /// Any command; the order of the alternatives is part of the log format.
-struct command
-    : tagged_variant<put_command, delete_command, claim_command,
-                     complete_command, withdraw_command, abandon_command,
-                     assign_pool_command, expire_command> {};
+struct command : tagged_variant<put_command, delete_command, claim_command,
+                                complete_command, withdraw_command,
+                                abandon_command, assign_pool_command,
+                                expire_command, replace_config_command,
+                                set_domain_command, sync_instances_command> {};
 
 /// Version of the format of a log entry that this program reads and writes.
 inline constexpr char BatchVersion = 1;
--- a/src/store/config_view.cpp
+++ b/src/store/config_view.cpp
@@ -64,7 +64,7 @@
 }
 
 config_view::config_view(const config_replica &Replica)
-    : Revision(Replica.currentRevision()) {
+    : Traffic(Replica), Revision(Replica.currentRevision()) {
   addTeams(Replica);
   addServices(Replica);
   addMembers(Replica);
--- a/src/store/config_view.h
+++ b/src/store/config_view.h
@@ -3,6 +3,7 @@
 
 #include "store/config_replica.h"
 #include "store/resource.h"
+#include "store/traffic_view.h"
 
 #include <cstdint>
 #include <optional>
@@ -103,6 +104,8 @@
   }
   /// Fleet-wide values; defaults while no policy object exists.
   [[nodiscard]] const policy &policyValues() const noexcept { return Policy; }
+  /// Routes by host and path, with the instances that discovery has found.
+  [[nodiscard]] const traffic_view &traffic() const noexcept { return Traffic; }
 
 private:
   template <class Key> using index = std::unordered_map<Key, std::uint32_t>;
@@ -120,6 +123,7 @@
   index<std::string_view> ServiceOfModel;
   index<std::uint32_t> ServiceOfPool;
   policy Policy;
+  traffic_view Traffic;
   revision Revision{};
 };
 
--- a/src/store/kinds.h
+++ b/src/store/kinds.h
@@ -14,10 +14,12 @@
   Service = 3,
   Policy = 4,
   Pool = 5,
+  Configuration = 6,
+  Instance = 7,
 };
 
 /// Number of values of `resource_kind`.
-inline constexpr int ResourceKinds = 6;
+inline constexpr int ResourceKinds = 8;
 
 /// A `Leaving` upstream receives no new work.
 enum class upstream_state : int { In = 0, Leaving = 1 };
@@ -40,6 +42,8 @@
       {store::resource_kind::Service, "service"},
       {store::resource_kind::Policy, "policy"},
       {store::resource_kind::Pool, "pool"},
+      {store::resource_kind::Configuration, "configuration"},
+      {store::resource_kind::Instance, "instance"},
   };
 };
 
--- a/src/store/resource.h
+++ b/src/store/resource.h
@@ -2,6 +2,8 @@
 #define ARBUTUS_STORE_RESOURCE_H
 
 #include "store/failure_domain.h"
+#include "store/fleet_config.h"
+#include "store/instance.h"
 #include "store/kinds.h"
 #include "store/msgpack_ids.h"
 #include "store/policy.h"
@@ -22,8 +24,8 @@
 
 /// The fields of an object; the alternatives are in the order of
 /// `resource_kind`.
-using resource_spec =
-    tagged_variant<team, upstream, failure_domain, service, policy, pool>;
+using resource_spec = tagged_variant<team, upstream, failure_domain, service,
+                                     policy, pool, fleet_config, instance>;
 
 [[nodiscard]] inline resource_kind kindOf(const resource_spec &Spec) noexcept {
   return static_cast<resource_kind>(Spec.Value.index());
@@ -44,8 +46,9 @@
 /// One stored object. It is immutable once stored; a change replaces it.
 struct resource {
   std::string Name;
-  /// `team_id`, `upstream_id` or `pool_id` (of a service and its pool), which
-  /// is never reused; 0 for the other kinds.
+  /// `team_id`, `upstream_id` (of an upstream or, in numbers of their own, of
+  /// an instance) or `pool_id` (of a service and its pool), which is never
+  /// reused; 0 for the other kinds.
   std::uint32_t Number = 0;
   /// Larger after every change of the object, also across its deletion.
   std::uint64_t Version = 0;
--- a/src/store/resource_json.cpp
+++ b/src/store/resource_json.cpp
@@ -1,5 +1,6 @@
 #include "store/resource_json.h"
 
+#include "store/config_rules.h"
 #include "store/nearest_name.h"
 #include "store/state_machine.h"
 #include "store/validation.h"
@@ -72,6 +73,7 @@
   case resource_kind::Team:
     return "team_id";
   case resource_kind::Upstream:
+  case resource_kind::Instance:
     return "upstream_id";
   case resource_kind::Service:
   case resource_kind::Pool:
@@ -250,6 +252,10 @@
     // The members of a pool object are not read, because no write is allowed.
     Spec.Value = pool{};
     return;
+  case resource_kind::Configuration:
+    return readSpec<fleet_config>(From, Spec, Errors);
+  case resource_kind::Instance:
+    return readSpec<instance>(From, Spec, Errors);
   }
 }
 
@@ -385,6 +391,25 @@
   return parsePut(Object, RequestId);
 }
 
+parsed_config parseConfigText(std::string_view Text) {
+  parsed_config Parsed;
+  const json Object = json::parse(Text, nullptr, false);
+  if (!Object.is_object()) {
+    Parsed.Errors.push_back(
+        {"", field_code::Malformed, "the text is not a JSON object"});
+    return Parsed;
+  }
+  field_reader Reader(Object, "", Parsed.Errors);
+  fleet_config::visitFields(Parsed.Config, Reader);
+  Reader.finish();
+  if (Parsed.Errors.empty()) {
+    Parsed.Errors = checkConfig(Parsed.Config);
+  }
+  return Parsed;
+}
+
+json toJson(const fleet_config &Config) { return specToJson(Config); }
+
 std::vector<field_error> allErrors(const parsed_put &Parsed,
                                    const state_machine &Store) {
   const bool KindKnown = std::none_of(
--- a/src/store/resource_json.h
+++ b/src/store/resource_json.h
@@ -38,6 +38,17 @@
 [[nodiscard]] parsed_put parsePutText(std::string_view Text,
                                       std::string_view RequestId);
 
+/// A configuration that was read from JSON, and every fault of it.
+struct parsed_config {
+  fleet_config Config;
+  std::vector<field_error> Errors;
+};
+
+/// Reads the fields of a fleet configuration from JSON text and checks them.
+[[nodiscard]] parsed_config parseConfigText(std::string_view Text);
+/// The form that `parseConfigText` reads.
+[[nodiscard]] nlohmann::json toJson(const fleet_config &Config);
+
 /// Every fault of a write that was read: those of `Parsed`, and those that
 /// `Store` finds at its current state. Faults that only follow from another
 /// one are left out. A write without faults in `Parsed` belongs into the log
--- a/src/store/resource_table.cpp
+++ b/src/store/resource_table.cpp
@@ -225,6 +225,7 @@
         throw msgpack::type_error();
       }
     }
+    countConfigChange(Change.Key, 1);
     History.push_back(std::move(Change));
   }
 }
@@ -264,11 +265,19 @@
 void resource_table::record(const object_key &Key, const resource_ptr &Object) {
   Revision = revision{number(Revision) + 1};
   History.push_back({Revision, Key, Object});
-  if (History.size() > MaxHistory) {
+  countConfigChange(Key, 1);
+  while (History.size() > MaxHistory || ConfigChanges > MaxConfigHistory) {
+    countConfigChange(History.front().Key, -1);
     History.pop_front();
   }
 }
 
+void resource_table::countConfigChange(const object_key &Key, int Difference) {
+  if (Key.Kind == resource_kind::Configuration) {
+    ConfigChanges += static_cast<std::size_t>(Difference);
+  }
+}
+
 bool resource_table::addToIndexes(const resource &Object) {
   if (const auto *Team = Object.as<team>()) {
     bool Added = TeamOfNumber.emplace(Object.Number, Object.Name).second;
@@ -316,6 +325,7 @@
   case resource_kind::Team:
   case resource_kind::Upstream:
   case resource_kind::Service:
+  case resource_kind::Instance:
     return NextNumber[slot(Kind)]++;
   default:
     return 0;
--- a/src/store/resource_table.h
+++ b/src/store/resource_table.h
@@ -19,6 +19,9 @@
 
 /// Changes that are kept for watches and replicas.
 inline constexpr std::size_t MaxHistory = 10'000;
+/// Changes of the fleet configuration among them. Each holds a whole document,
+/// so more of them would take too much memory on a small VM.
+inline constexpr std::size_t MaxConfigHistory = 8;
 
 /// All objects with their history. Writes are not checked here: callers check
 /// them first.
@@ -86,6 +89,7 @@
                      const resource_spec &Spec);
   resource_ptr remove(const object_key &Key);
   void record(const object_key &Key, const resource_ptr &Object);
+  void countConfigChange(const object_key &Key, int Difference);
   bool addToIndexes(const resource &Object);
   void removeFromIndexes(const resource &Object);
   [[nodiscard]] bool isCurrent(const change &Change) const;
@@ -94,9 +98,11 @@
   std::array<std::map<std::string, resource_ptr, std::less<>>, ResourceKinds>
       Objects;
   std::deque<change> History;
+  std::size_t ConfigChanges = 0;
   revision Revision{};
   /// Next `team_id`, `upstream_id` and `pool_id`, by kind.
-  std::array<std::uint32_t, ResourceKinds> NextNumber = {1, 1, 1, 1, 1, 1};
+  std::array<std::uint32_t, ResourceKinds> NextNumber = {1, 1, 1, 1,
+                                                         1, 1, 1, 1};
   /// Largest version of a deleted object, by kind. A new object starts above
   /// it, so that a write that was meant for a deleted object of the same name
   /// cannot meet an equal version.
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "store/claim_table.h"
+#include "store/config_rules.h"
 #include "store/request_table.h"
 #include "store/resource_table.h"
 #include "store/validation.h"
@@ -30,6 +31,9 @@
 /// answer is remembered for a day.
 constexpr std::size_t MaxErrors = 100;
 
+/// Region of a failure domain that is only known from an order about it.
+constexpr std::string_view UnassignedRegion = "unassigned";
+
 /// Packs into a string without a second buffer.
 struct string_stream {
   std::string &Out;
@@ -212,6 +216,43 @@
         Resources.put(Current->Name, {pool{Assign.Grantor, Assign.Epoch,
                                            Assign.Incarnation}}));
   }
+  command_outcome run(const replace_config_command &Replace) {
+    const auto Current =
+        Resources.find(resource_kind::Configuration, FleetConfigName);
+    if (Current &&
+        Replace.Config.Version <= Current->as<fleet_config>()->Version) {
+      auto Outcome = outcomeOf(outcome_code::Ok);
+      Outcome.Resent = true;
+      return Outcome;
+    }
+    if (auto Errors = checkConfig(Replace.Config); !Errors.empty()) {
+      return invalid(std::move(Errors));
+    }
+    Resources.put(std::string(FleetConfigName), {Replace.Config});
+    return outcomeOf(outcome_code::Ok);
+  }
+  command_outcome run(const set_domain_command &Set) {
+    const auto Current = Resources.find(resource_kind::FailureDomain, Set.Name);
+    failure_domain Spec{std::string(UnassignedRegion), Set.State};
+    if (Current) {
+      Spec.Region = Current->as<failure_domain>()->Region;
+      if (Current->as<failure_domain>()->State == Set.State) {
+        return outcomeOf(outcome_code::Ok, Current);
+      }
+    }
+    return outcomeOf(outcome_code::Ok, Resources.put(Set.Name, {Spec}));
+  }
+  command_outcome run(const sync_instances_command &Sync) {
+    for (const auto &Name : Sync.Gone) {
+      if (Resources.find(resource_kind::Instance, Name)) {
+        Resources.erase({resource_kind::Instance, Name});
+      }
+    }
+    for (const auto &Changed : Sync.Changed) {
+      Resources.put(Changed.Name, {Changed.Spec});
+    }
+    return outcomeOf(outcome_code::Ok);
+  }
   command_outcome run(const expire_command &Expire) {
     auto Outcome = outcomeOf(outcome_code::Ok);
     Outcome.Count = advanceTime(Expire.LeaderTimeMs);
--- /dev/null
+++ b/src/store/traffic_view.h
@@ -0,0 +1,75 @@
+#ifndef ARBUTUS_STORE_TRAFFIC_VIEW_H
+#define ARBUTUS_STORE_TRAFFIC_VIEW_H
+
+#include "base/ids.h"
+#include "store/config_replica.h"
+#include "store/fleet_config.h"
+#include "store/instance.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutus::store {
+
+/// An instance as requests see it.
+struct instance_entry {
+  upstream_id Id{};
+  /// Valid as long as the view.
+  std::string_view Name;
+  const instance *Spec = nullptr;
+  /// True if the instance and its failure domain are both in service.
+  bool Usable = false;
+};
+
+/// Lookup tables of the fleet configuration and the discovered instances. They
+/// are built once for each change. Pointers are valid as long as the view;
+/// null means that there is no such object.
+class traffic_view {
+public:
+  traffic_view() = default;
+  explicit traffic_view(const config_replica &Replica);
+
+  /// The configuration in force, or null before the first one.
+  [[nodiscard]] const fleet_config *config() const noexcept { return Config; }
+
+  /// Route of the host with the longest prefix of the path. A port in the host
+  /// is ignored.
+  [[nodiscard]] const traffic_route *
+  matchRoute(std::string_view Host, std::string_view Path) const noexcept;
+
+  /// Team that has this API key.
+  [[nodiscard]] const traffic_team *
+  teamOfKey(std::string_view Key) const noexcept;
+
+  [[nodiscard]] const service_profile *
+  service(std::string_view Name) const noexcept;
+
+  /// Instances of a service, usable or not, ordered by name.
+  [[nodiscard]] const std::vector<instance_entry> &
+  instances(std::string_view Service) const noexcept;
+
+  /// Services that routes or instances name, ordered by name.
+  [[nodiscard]] std::vector<std::string_view> serviceNames() const;
+
+private:
+  using prefix_map =
+      std::map<std::string_view, const traffic_route *, std::greater<>>;
+
+  std::vector<resource_ptr> Objects;
+  const fleet_config *Config = nullptr;
+  /// Routes of a host. A prefix sorts after all longer paths that begin with
+  /// it, so that the first match in this order is the longest.
+  std::unordered_map<std::string_view, prefix_map> Routes;
+  std::unordered_map<std::string_view, const traffic_team *> TeamOfKey;
+  std::map<std::string_view, std::vector<instance_entry>> Instances;
+};
+
+} // namespace arbutus::store
+
+#endif
--- a/src/store/validation.cpp
+++ b/src/store/validation.cpp
@@ -187,6 +187,16 @@
         "a pool is derived from its service and cannot be written");
   }
 
+  void operator()(const fleet_config & /*Spec*/) {
+    add("kind", field_code::NotAllowed,
+        "a configuration is replaced whole, without a name");
+  }
+
+  void operator()(const instance & /*Spec*/) {
+    add("kind", field_code::NotAllowed,
+        "instances come from discovery and cannot be written");
+  }
+
 private:
   template <class Enum> void known(std::string_view Field, Enum Value) {
     if (nameOf(Value) == "invalid") {
--- /dev/null
+++ b/src/traffic/entry_addresses.h
@@ -0,0 +1,21 @@
+#ifndef ARBUTUS_TRAFFIC_ENTRY_ADDRESSES_H
+#define ARBUTUS_TRAFFIC_ENTRY_ADDRESSES_H
+
+#include "membership/node_session.h"
+#include "traffic/site_adapter.h"
+
+#include <string>
+#include <vector>
+
+namespace arbutus::traffic {
+
+/// Addresses that a caller should connect to: routers that are live and not
+/// leaving, those of its own failure domain if there are enough of them, else
+/// those of its region, else all.
+[[nodiscard]] std::vector<std::string>
+entryAddresses(const std::vector<membership::live_node> &Nodes,
+               const address_query &Caller);
+
+} // namespace arbutus::traffic
+
+#endif
--- /dev/null
+++ b/src/traffic/site_codec.h
@@ -0,0 +1,52 @@
+#ifndef ARBUTUS_TRAFFIC_SITE_CODEC_H
+#define ARBUTUS_TRAFFIC_SITE_CODEC_H
+
+#include "balance/upstream_load.h"
+#include "base/clock.h"
+#include "net/http_message.h"
+#include "traffic/caller_request.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace arbutus::traffic {
+
+/// What an upstream is told about a call beside the caller's own headers.
+struct call_facts {
+  /// The instance that the call is meant for; another one must refuse it.
+  std::string_view Instance;
+  /// The caller's team, or empty.
+  std::string_view Team;
+  duration TimeLeft{};
+};
+
+/// What the headers of an upstream's answer say.
+struct answer_facts {
+  /// True for a success that bears the upstream's signature.
+  bool Signed = false;
+  /// The upstream promises that the request did not run.
+  bool NotRun = false;
+  /// Another instance has the address; the request did not run.
+  bool OtherInstance = false;
+  /// Load at the upstream, if it tells.
+  std::optional<balance::reported_load> Load;
+};
+
+/// How a site writes requests and answers. Free functions, so that the codec
+/// has no state.
+struct site_codec {
+  caller_request (*ReadRequest)(const net::http_request &Request) = nullptr;
+  /// Headers that the fleet adds to a call.
+  void (*AddCallHeaders)(const call_facts &Facts,
+                         net::http_headers &Headers) = nullptr;
+  /// True if an answer belongs to the request with this id.
+  bool (*BelongsTo)(const net::http_headers &Headers,
+                    std::string_view RequestId) = nullptr;
+  answer_facts (*ReadAnswer)(int Status, const net::http_headers &Headers,
+                             instant Now) = nullptr;
+};
+
+} // namespace arbutus::traffic
+
+#endif
--- /dev/null
+++ b/src/traffic/traffic_admission.cpp
@@ -0,0 +1,112 @@
+#include "traffic/traffic_admission.h"
+
+#include "base/digest.h"
+
+#include <algorithm>
+
+namespace arbutus::traffic {
+
+namespace {
+
+using router::request_error;
+
+/// Cost of an output token relative to one of the prompt: a prompt is read in
+/// large chunks, while each output token takes a step of its own.
+constexpr double OutputTokenCost = 2;
+
+/// Service that takes this request: targets get requests by their weights. The
+/// choice depends on the request's id alone.
+const std::string &chooseTarget(const store::traffic_route &Route,
+                                std::string_view RequestId) {
+  std::uint64_t Sum = 0;
+  for (const auto &Target : Route.Targets) {
+    Sum += Target.Weight;
+  }
+  std::uint64_t Point = hash64(RequestId) % std::max<std::uint64_t>(1, Sum);
+  for (const auto &Target : Route.Targets) {
+    if (Point < Target.Weight) {
+      return Target.Service;
+    }
+    Point -= Target.Weight;
+  }
+  return Route.Targets.front().Service;
+}
+
+/// Hash of the deepest part of the prompt that other requests share.
+std::uint64_t affinityOf(const caller_request &Caller) {
+  if (Caller.Prompt.size() < 2) {
+    return 0;
+  }
+  return hash64(Caller.Prompt[Caller.Prompt.size() - 2].Id);
+}
+
+double costOf(const caller_request &Caller) {
+  const auto Output =
+      Caller.ExpectedOutputTokens != 0
+          ? std::min(Caller.ExpectedOutputTokens, Caller.MaxOutputTokens)
+          : Caller.MaxOutputTokens / 2;
+  return std::max(1.0, static_cast<double>(Caller.PromptTokens) +
+                           OutputTokenCost * static_cast<double>(Output));
+}
+
+result<void, request_error> findTeam(traffic_request &Request) {
+  const auto &Traffic = Request.View->traffic();
+  if (Request.Route->Public || Traffic.config()->Teams.empty()) {
+    return outcome::success();
+  }
+  Request.Team = Traffic.teamOfKey(Request.Caller.Key);
+  if (Request.Team == nullptr) {
+    return request_error::InvalidKey;
+  }
+  return outcome::success();
+}
+
+} // namespace
+
+result<traffic_request_ptr, router::request_error>
+admitTraffic(traffic_shard &Shard,
+             const std::shared_ptr<net::http_exchange> &Exchange,
+             const caller_request &Caller) {
+  auto &Context = Shard.Context;
+  auto Request = std::make_shared<traffic_request>(Shard, Exchange);
+  Request->Arrived = monotonic_clock::now();
+  Request->Id = Context.LastRequest.fetch_add(1) + 1;
+  Request->Caller = Caller;
+  Request->Method = Exchange->request().Method;
+  Request->Target = Exchange->request().Target;
+  if (!router::holdsLease(Context, Request->Arrived)) {
+    return request_error::NotServing;
+  }
+  if (Context.Drain.load() == router::drain_phase::Finishing) {
+    return request_error::ShuttingDown;
+  }
+  const auto State = Context.Routing.read([](const auto &S) { return S; });
+  Request->View = State.View;
+  const auto &Traffic = State.View->traffic();
+  if (Traffic.config() == nullptr) {
+    return request_error::NotServing;
+  }
+  Request->Route =
+      Traffic.matchRoute(Caller.Host, net::pathOf(Request->Target));
+  if (Request->Route == nullptr) {
+    return request_error::UnknownRoute;
+  }
+  if (const auto Found = findTeam(*Request); Found.has_error()) {
+    return Found.error();
+  }
+  const auto BodyLimit = Traffic.config()->Limits.BodyBytes;
+  if (BodyLimit != 0 && Exchange->request().Body.size() > BodyLimit) {
+    return request_error::BodyTooLarge;
+  }
+  Request->Body = Exchange->takeBody();
+  Request->Service = chooseTarget(*Request->Route, Caller.Id);
+  const duration Timeout = std::chrono::milliseconds(Request->Route->TimeoutMs);
+  Request->Deadline =
+      Request->Arrived + std::min(Timeout, Caller.TimeLeft.value_or(Timeout));
+  Request->Cost = costOf(Caller);
+  Request->Affinity = Request->Route->PrefixAffinity ? affinityOf(Caller) : 0;
+  Shard.Pools.follow(State);
+  return Request;
+}
+
+} // namespace arbutus::traffic
--- /dev/null
+++ b/src/traffic/traffic_flow.cpp
@@ -0,0 +1,325 @@
+#include "traffic/traffic_flow.h"
+
+#include "base/log.h"
+#include "router/retry_policy.h"
+#include "traffic/traffic_admission.h"
+#include "traffic/traffic_end.h"
+
+#include <algorithm>
+
+namespace arbutus::traffic {
+
+namespace {
+
+using balance::call_health;
+using router::next_step;
+using router::request_error;
+using router::request_phase;
+using router::run_outcome;
+
+/// Longest answer that is buffered, in bytes.
+constexpr std::size_t MostAnswerBytes = std::size_t{16} << 20U;
+constexpr int FirstFailureStatus = 300;
+constexpr int FirstServerError = 500;
+
+void enqueueRequest(const traffic_request_ptr &Request);
+
+/// What the end of a call says about the upstream's health.
+call_health healthOf(const traffic_request &Request,
+                     net::call_outcome Outcome) {
+  switch (Outcome) {
+  case net::call_outcome::NothingSent:
+    return call_health::Unreachable;
+  case net::call_outcome::Cancelled:
+  case net::call_outcome::DeadlinePassed:
+    return call_health::Neutral;
+  case net::call_outcome::SentNoAnswer:
+  case net::call_outcome::AnswerBroken:
+    return call_health::Failed;
+  case net::call_outcome::Complete:
+    break;
+  }
+  if (Request.Call.Facts.NotRun) {
+    return call_health::Refused;
+  }
+  return Request.Call.Status < FirstServerError ? call_health::Good
+                                                : call_health::Failed;
+}
+
+bool answerIsValid(const traffic_request &Request) {
+  const bool Success = Request.Call.Status < FirstFailureStatus;
+  return !Request.Call.Oversized && (!Success || Request.Call.Facts.Signed);
+}
+
+router::call_result resultOf(traffic_request &Request,
+                             net::call_outcome Outcome) {
+  const instant Now = monotonic_clock::now();
+  router::call_result Result;
+  Result.Outcome = Outcome;
+  Result.Status = Request.Call.Status;
+  Result.UpstreamNotRun = Request.Call.Facts.NotRun;
+  Result.AnswerValid = answerIsValid(Request);
+  Result.AnswerBegun = Request.Exchange->answered();
+  Result.Idempotent = Request.mayRepeat();
+  Result.AttemptsLeft = Request.Attempts < Request.Route->MaxAttempts;
+  Result.DeadlineLeft =
+      Now < Request.Deadline && router::holdsLease(Request.Shard.Context, Now);
+  Result.BudgetLeft = true;
+  if (router::decideNextStep(Result).Step == next_step::Retry) {
+    Result.BudgetLeft = Request.Shard.Context.Retries.spend();
+  }
+  return Result;
+}
+
+void onCallDone(const traffic_request_ptr &Request, net::call_outcome Outcome) {
+  auto &Shard = Request->Shard;
+  const auto Health = healthOf(*Request, Outcome);
+  if (Request->Call.Facts.Load) {
+    Shard.Pools.onLoad(Request->Service, Request->Call.Upstream,
+                       *Request->Call.Facts.Load);
+  }
+  Shard.Pools.complete(Request->Service, Request->Id, Health);
+  if (Request->Phase == request_phase::Finished) {
+    return; // aborted
+  }
+  if (Request->CallerGone) {
+    endAbandoned(Request);
+    return;
+  }
+  const auto Result = resultOf(*Request, Outcome);
+  const auto Decision = router::decideNextStep(Result);
+  Request->MayHaveRun = Request->MayHaveRun || !router::provedNotRun(Result);
+  if (Decision.Step == next_step::Answer) {
+    answerTraffic(Request);
+    return;
+  }
+  logEvent(log_level::Info, "call_failed",
+           {{"request", Request->Caller.Id},
+            {"upstream", Request->Call.Instance},
+            {"outcome", nameOf(Outcome)},
+            {"status", Request->Call.Status},
+            {"not_run", Request->Call.Facts.NotRun},
+            {"next", nameOf(Decision.Step)},
+            {"error", nameOf(Decision.Error)}});
+  if (Decision.Step == next_step::Retry) {
+    Shard.Context.Metrics.countRetry();
+    Request->Excluded.push_back(Request->Call.Upstream);
+    enqueueRequest(Request);
+    return;
+  }
+  failTraffic(Request, Decision.Error, Decision.Outcome);
+}
+
+void onCallHeaders(const traffic_request_ptr &Request, int Status,
+                   const net::http_headers &Headers) {
+  Request->Call.Status = Status;
+  Request->Call.Headers = Headers;
+  Request->Call.Facts =
+      Request->Shard.Codec.ReadAnswer(Status, Headers, monotonic_clock::now());
+}
+
+void onCallBody(const traffic_request_ptr &Request, std::string_view Bytes) {
+  auto &Call = Request->Call;
+  if (!Call.FirstByte) {
+    Call.FirstByte = true;
+    Request->Shard.Pools.onFirstByte(Request->Service, Request->Id);
+  }
+  const bool PassOn = Request->isStream() && answerIsValid(*Request) &&
+                      Call.Status < FirstFailureStatus;
+  if (PassOn) {
+    if (!Request->Exchange->answered()) {
+      Request->Exchange->beginStream(Call.Status, answerHeaders(Call.Headers));
+    }
+    Request->Exchange->writeChunk(std::string(Bytes));
+    return;
+  }
+  if (Call.Body.size() + Bytes.size() > MostAnswerBytes) {
+    Call.Oversized = true;
+    Request->Shard.Shard.Client.cancel(Call.Call);
+    return;
+  }
+  Call.Body += Bytes;
+}
+
+const store::instance_entry *findInstance(const store::traffic_view &Traffic,
+                                          std::string_view Service,
+                                          upstream_id Upstream) {
+  const auto &List = Traffic.instances(Service);
+  const auto It =
+      std::find_if(List.begin(), List.end(),
+                   [&](const auto &Entry) { return Entry.Id == Upstream; });
+  return It == List.end() ? nullptr : &*It;
+}
+
+net::http_call makeCall(const traffic_request_ptr &Request,
+                        const store::instance_entry &Instance, instant Now) {
+  net::http_call Call;
+  Call.Method = Request->Method;
+  Call.Url = "http://" + Instance.Spec->Address + Request->Target;
+  Call.Headers = Request->Caller.Forwarded;
+  Call.Body = Request->Body;
+  Call.Timeout = std::max<duration>(Request->Deadline - Now, 1ms);
+  Request->Shard.Codec.AddCallHeaders(
+      {Instance.Name, Request->teamName(), Call.Timeout}, Call.Headers);
+  Call.IsAnswer = [Request](const net::http_headers &Headers) {
+    return Request->Shard.Codec.BelongsTo(Headers, Request->Caller.Id);
+  };
+  Call.OnHeaders = [Request](int Status, const net::http_headers &Headers) {
+    onCallHeaders(Request, Status, Headers);
+  };
+  Call.OnBody = [Request](std::string_view Bytes) {
+    onCallBody(Request, Bytes);
+  };
+  Call.OnDone = [Request](net::call_outcome Outcome) {
+    onCallDone(Request, Outcome);
+  };
+  return Call;
+}
+
+/// Gives a slot back that the request does not use.
+void returnSlot(const traffic_request &Request) {
+  Request.Shard.Pools.complete(Request.Service, Request.Id,
+                               call_health::Neutral);
+}
+
+void callUpstream(const traffic_request_ptr &Request, upstream_id Upstream) {
+  auto &Shard = Request->Shard;
+  const instant Now = monotonic_clock::now();
+  if (!router::holdsLease(Shard.Context, Now)) {
+    returnSlot(*Request);
+    failTraffic(Request, request_error::NotServing, run_outcome::NotRun);
+    return;
+  }
+  // The newest view knows instances that came or left since the request
+  // arrived.
+  const auto View = Shard.Context.Routing.read(
+      [](const router::routing_state &State) { return State.View; });
+  const auto *Instance =
+      findInstance(View->traffic(), Request->Service, Upstream);
+  if (Instance == nullptr || !Instance->Usable) {
+    returnSlot(*Request);
+    Request->Excluded.push_back(Upstream);
+    enqueueRequest(Request);
+    return;
+  }
+  Request->Phase = request_phase::Calling;
+  if (++Request->Attempts == 1) {
+    Shard.Context.Retries.earn();
+  }
+  Request->Call = instance_call{};
+  Request->Call.Upstream = Upstream;
+  Request->Call.Instance = Instance->Name;
+  Request->Call.SentAt = Now;
+  logEvent(log_level::Info, "route",
+           {{"request", Request->Caller.Id},
+            {"team", Request->teamName()},
+            {"route", Request->Route->Name},
+            {"upstream", Instance->Name},
+            {"failure_domain", Instance->Spec->FailureDomain},
+            {"revision", number(View->currentRevision())},
+            {"attempt", Request->Attempts},
+            {"waited_us", toMicros(Now - Request->Arrived)}});
+  Request->Call.Call =
+      Shard.Shard.Client.start(makeCall(Request, *Instance, Now));
+}
+
+void onDispatched(const traffic_request_ptr &Request, upstream_id Upstream) {
+  if (Request->CallerGone || Request->Phase != request_phase::Waiting) {
+    returnSlot(*Request);
+    return;
+  }
+  callUpstream(Request, Upstream);
+}
+
+void enqueueRequest(const traffic_request_ptr &Request) {
+  auto &Shard = Request->Shard;
+  Request->Phase = request_phase::Waiting;
+  if (!Shard.Pools.anyUsable(Request->Service)) {
+    failTraffic(Request, request_error::NoUpstream, run_outcome::NotRun);
+    return;
+  }
+  balance::queued_request Queued;
+  Queued.RequestId = Request->Id;
+  Queued.Team = Shard.Pools.teamNumber(Request->teamName());
+  Queued.Cost = Request->Cost;
+  Queued.PromptTokens = Request->Caller.PromptTokens;
+  Queued.Affinity = Request->Affinity;
+  Queued.Excluded = Request->Excluded;
+  Queued.Deadline = Request->Deadline;
+  waiting_callbacks Callbacks;
+  Callbacks.OnDispatch = [Request](upstream_id Upstream) {
+    onDispatched(Request, Upstream);
+  };
+  Callbacks.OnExpired = [Request] {
+    failTraffic(Request, request_error::DeadlineExceeded, run_outcome::NotRun);
+  };
+  const auto Upstream = Shard.Pools.enqueue(Request->Service, std::move(Queued),
+                                            std::move(Callbacks));
+  if (Upstream) {
+    callUpstream(Request, *Upstream);
+  }
+}
+
+void onCallerGone(const traffic_request_ptr &Request) {
+  Request->CallerGone = true;
+  if (Request->Phase == request_phase::Waiting) {
+    Request->Shard.Pools.cancel(Request->Service, Request->Id);
+    endAbandoned(Request);
+  } else if (Request->Phase == request_phase::Calling &&
+             Request->Route->Kind != store::request_kind::NonIdempotent) {
+    Request->Shard.Shard.Client.cancel(Request->Call.Call);
+  }
+}
+
+void track(const traffic_request_ptr &Request) {
+  auto &Shard = Request->Shard;
+  Shard.Requests.push_back(Request);
+  if (Shard.Requests.size() < Shard.NextCleanup) {
+    return;
+  }
+  std::erase_if(Shard.Requests,
+                [](const auto &Weak) { return Weak.expired(); });
+  Shard.NextCleanup = 2 * Shard.Requests.size() + 64;
+}
+
+} // namespace
+
+void handleTraffic(traffic_shard &Shard,
+                   const std::shared_ptr<net::http_exchange> &Exchange) {
+  const auto Caller = Shard.Codec.ReadRequest(Exchange->request());
+  const auto Admitted = admitTraffic(Shard, Exchange, Caller);
+  if (Admitted.has_error()) {
+    Shard.Context.Metrics.countError(Admitted.error());
+    logEvent(log_level::Info, "request_refused",
+             {{"request", Caller.Id}, {"error", nameOf(Admitted.error())}});
+    Exchange->respond(
+        refusalAnswer(Admitted.error(), run_outcome::NotRun, Caller.Id));
+    return;
+  }
+  const auto &Request = Admitted.value();
+  track(Request);
+  Exchange->onDisconnect([Weak = std::weak_ptr<traffic_request>(Request)] {
+    if (const auto Strong = Weak.lock()) {
+      onCallerGone(Strong);
+    }
+  });
+  enqueueRequest(Request);
+}
+
+void abortTraffic(traffic_shard &Shard) {
+  for (const auto &Weak : std::exchange(Shard.Requests, {})) {
+    const auto Request = Weak.lock();
+    if (!Request || Request->Phase == request_phase::Finished) {
+      continue;
+    }
+    if (Request->Phase == request_phase::Waiting) {
+      Shard.Pools.cancel(Request->Service, Request->Id);
+      failTraffic(Request, request_error::ShuttingDown, run_outcome::NotRun);
+    } else {
+      Shard.Shard.Client.cancel(Request->Call.Call);
+      failTraffic(Request, request_error::ShuttingDown, run_outcome::Unknown);
+    }
+  }
+}
+
+} // namespace arbutus::traffic
--- /dev/null
+++ b/src/traffic/traffic_request.h
@@ -0,0 +1,88 @@
+#ifndef ARBUTUS_TRAFFIC_TRAFFIC_REQUEST_H
+#define ARBUTUS_TRAFFIC_TRAFFIC_REQUEST_H
+
+#include "net/http_exchange.h"
+#include "router/request_error.h"
+#include "router/routed_request.h"
+#include "traffic/caller_request.h"
+#include "traffic/site_codec.h"
+#include "traffic/traffic_shard.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace arbutus::traffic {
+
+/// One call of an upstream instance for a request.
+struct instance_call {
+  upstream_id Upstream{};
+  std::string Instance; ///< a copy: the view may be replaced
+  net::call_id Call{};
+  instant SentAt;
+  int Status = 0;
+  net::http_headers Headers;
+  answer_facts Facts;
+  std::string Body; ///< of answers that are not passed on as they arrive
+  bool FirstByte = false;
+  bool Oversized = false;
+};
+
+/// A request that is routed by host and path, from admission to its answer. It
+/// lives on one shard and is only used on that shard's thread.
+struct traffic_request {
+  traffic_request(traffic_shard &Shard,
+                  std::shared_ptr<net::http_exchange> Exchange)
+      : Shard(Shard), Exchange(std::move(Exchange)) {
+    Shard.Context.ActiveRequests.fetch_add(1, std::memory_order_relaxed);
+  }
+  traffic_request(const traffic_request &) = delete;
+  traffic_request &operator=(const traffic_request &) = delete;
+  ~traffic_request() {
+    Shard.Context.ActiveRequests.fetch_sub(1, std::memory_order_relaxed);
+  }
+
+  traffic_shard &Shard;
+  std::shared_ptr<net::http_exchange> Exchange;
+  caller_request Caller;
+
+  /// Keeps route, team and service valid while the request runs.
+  std::shared_ptr<const store::config_view> View;
+  const store::traffic_route *Route = nullptr;
+  const store::traffic_team *Team = nullptr;
+  std::string Service;
+
+  std::uint64_t Id = 0; ///< unique in this process
+  std::string Method;
+  std::string Target; ///< path and query
+  std::string Body;
+  instant Arrived;
+  instant Deadline;
+  double Cost = 1;
+  std::uint64_t Affinity = 0;
+
+  router::request_phase Phase = router::request_phase::Admitted;
+  std::uint32_t Attempts = 0;
+  bool MayHaveRun = false; ///< a call ended without proof that it did not run
+  bool CallerGone = false;
+  std::vector<upstream_id> Excluded;
+  instance_call Call;
+
+  [[nodiscard]] bool mayRepeat() const noexcept {
+    return Route->Kind == store::request_kind::Idempotent ||
+           (Route->Kind == store::request_kind::Stream && Route->Resumable);
+  }
+  [[nodiscard]] bool isStream() const noexcept {
+    return Route->Kind == store::request_kind::Stream;
+  }
+  [[nodiscard]] std::string_view teamName() const noexcept {
+    return Team == nullptr ? std::string_view() : std::string_view(Team->Name);
+  }
+};
+
+using traffic_request_ptr = std::shared_ptr<traffic_request>;
+
+} // namespace arbutus::traffic
+
+#endif
--- a/tests/store/naive_store.h
+++ b/tests/store/naive_store.h
@@ -140,24 +140,32 @@
     if (const auto Faults = countFaults(Key, Put.Spec); Faults != 0) {
       return {outcome_code::Invalid, 0, 0, Faults};
     }
-    object Object{0, 0, Put.Spec};
+    const bool Created = Found == Objects.end();
+    const object Object = set(Key, Put.Spec);
+    if (Key.Kind == resource_kind::Service && Created) {
+      const object_key PoolKey{resource_kind::Pool, Key.Name};
+      Objects[PoolKey] = {
+          DeletedVersion[PoolKey.Kind] + 1, Object.Number, {pool{}}};
+    }
+    return withObject(outcome_code::Ok, Object);
+  }
+
+  object set(const object_key &Key, const resource_spec &Spec) {
+    const auto Found = Objects.find(Key);
+    object Object{0, 0, Spec};
     if (Found != Objects.end()) {
       Object.Version = Found->second.Version + 1;
       Object.Number = Found->second.Number;
     } else {
       Object.Version = DeletedVersion[Key.Kind] + 1;
       if (Key.Kind != resource_kind::FailureDomain &&
+          Key.Kind != resource_kind::Configuration &&
           Key.Kind != resource_kind::Policy) {
         Object.Number = ++LastNumber[Key.Kind];
       }
     }
-    if (Key.Kind == resource_kind::Service && Found == Objects.end()) {
-      const object_key PoolKey{resource_kind::Pool, Key.Name};
-      Objects[PoolKey] = {
-          DeletedVersion[PoolKey.Kind] + 1, Object.Number, {pool{}}};
-    }
     Objects[Key] = Object;
-    return withObject(outcome_code::Ok, Object);
+    return Object;
   }
 
   void remove(const object_key &Key) {
@@ -319,6 +327,51 @@
     return {outcome_code::NotFound};
   }
 
+  naive_outcome run(const replace_config_command &Replace) {
+    const object_key Key{resource_kind::Configuration, "fleet"};
+    const auto Found = Objects.find(Key);
+    if (Found != Objects.end() &&
+        Replace.Config.Version <=
+            std::get<fleet_config>(Found->second.Spec.Value).Version) {
+      return {outcome_code::Ok, 0, 0, 0, 0, true};
+    }
+    std::uint64_t Faults = 0;
+    for (const auto &Route : Replace.Config.Routes) {
+      Faults += Route.TimeoutMs == 0 ? 1 : 0;
+    }
+    if (Faults != 0) {
+      return {outcome_code::Invalid, 0, 0, Faults};
+    }
+    set(Key, {Replace.Config});
+    return {outcome_code::Ok};
+  }
+
+  naive_outcome run(const set_domain_command &Set) {
+    const object_key Key{resource_kind::FailureDomain, Set.Name};
+    const auto Found = Objects.find(Key);
+    failure_domain Spec{"unassigned", Set.State};
+    if (Found != Objects.end()) {
+      Spec.Region = std::get<failure_domain>(Found->second.Spec.Value).Region;
+      if (Found->second.Spec == resource_spec{Spec}) {
+        return withObject(outcome_code::Ok, Found->second);
+      }
+    }
+    return withObject(outcome_code::Ok, set(Key, {Spec}));
+  }
+
+  naive_outcome run(const sync_instances_command &Sync) {
+    for (const auto &Name : Sync.Gone) {
+      const object_key Key{resource_kind::Instance, Name};
+      if (Objects.count(Key) != 0) {
+        remove(Key);
+      }
+    }
+    for (const auto &Changed : Sync.Changed) {
+      set({resource_kind::Instance, Changed.Name}, {Changed.Spec});
+    }
+    return {outcome_code::Ok};
+  }
+
   naive_outcome run(const expire_command &Expire) {
     return {outcome_code::Ok, 0, 0, advance(Expire.LeaderTimeMs)};
   }
--- a/tests/store/test_differential.cpp
+++ b/tests/store/test_differential.cpp
@@ -112,8 +112,35 @@
     return {Found->first, Found->second.Owner};
   }
 
+  /// A configuration that is often older than the one in force, and sometimes
+  /// invalid.
+  replace_config_command config() {
+    fleet_config Config;
+    ++LastConfig;
+    Config.Version = LastConfig - below(std::min<std::uint64_t>(LastConfig, 3));
+    Config.Services.emplace_back().Name = "ledger";
+    traffic_route Route;
+    Route.Name = "deposits";
+    Route.PathPrefix = "/deposits/";
+    Route.Targets = {{"ledger", 1}};
+    Route.TimeoutMs = static_cast<std::uint32_t>(below(4)) * 100;
+    Config.Routes = {Route};
+    return {Config};
+  }
+
   command fresh(const naive_store &Known) {
-    switch (below(16)) {
+    switch (below(19)) {
+    case 16:
+      return makeCommand(config());
+    case 17:
+      return makeCommand(
+          set_domain_command{pick("n", 6), domain_state(below(2))});
+    case 18:
+      return makeCommand(sync_instances_command{
+          {{pick("i", 5),
+            {"ledger", "127.0.0.1:9", "a", 6, upstream_state(below(2)),
+             below(2) == 0, below(3)}}},
+          {pick("i", 5)}});
     case 0:
       LastIncarnation += below(2);
       return makeCommand(
@@ -168,6 +195,7 @@
   std::vector<command> Sent;
   std::uint64_t LastId = 0;
   std::uint64_t LastIncarnation = 2;
+  std::uint64_t LastConfig = 0;
 };
 
 naive_outcome reduce(const command_outcome &Outcome) {
