Let voters find each other and be replaced when seeds change

A voter with a lost disk never came back. Ruled out: lost entries; all three voters had them. Change: nodes learn the voters from the leader and from whoever they ask, a node without a disk passes on what it knows, addresses follow from numbers, and the leader replaces lost disks and nodes one change at a time. A sender whose clock went back across a restart is heard again after a silence. Test: tests/membership/test_voter_plan.cpp, test_mesh_frame.cpp.

--- a/src/consensus/input.h
+++ b/src/consensus/input.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_CONSENSUS_INPUT_H
 #define ARBUTUS_CONSENSUS_INPUT_H
 
+#include "base/name_table.h"
 #include "consensus/message.h"
 
 #include <cstdint>
@@ -60,4 +61,13 @@
 
 } // namespace arbutus::consensus
 
+template <> struct arbutus::name_table<arbutus::consensus::change_kind> {
+  using kind = arbutus::consensus::change_kind;
+  static constexpr name_row<kind> Rows[] = {
+      {kind::AddLearner, "add_learner"},
+      {kind::Promote, "promote"},
+      {kind::Remove, "remove"},
+  };
+};
+
 #endif
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -2,6 +2,7 @@
 
 #include "base/codec.h"
 #include "base/log.h"
+#include "membership/voter_plan.h"
 
 #include <set>
 
@@ -18,19 +19,29 @@
 /// A new leader waits for heartbeats before it moves a grantor.
 constexpr duration PlacementDelay = 700ms;
 constexpr duration ExpireInterval = 30s;
+constexpr duration VoterCheckInterval = 200ms;
+constexpr duration VoterCheckDelay = 1s;
 
 } // namespace
 
 void leader_duties::onHeartbeat(node_id From, incarnation Incarnation,
                                 const heartbeat_message &Heartbeat,
                                 std::optional<node_id> Leader, bool Leading,
+                                const consensus::voter_set &Voters,
                                 const store::state_machine &Store,
                                 instant Now) {
   membership::live_node Node = fromWire(Heartbeat.Self);
   Node.Info.Node = From;
   Heard[From] = {
-      membership::known_node{Node.Info, Incarnation, {}, Node.Leaving}, Now};
+      membership::known_node{Node.Info, Incarnation, {}, Node.Leaving}, Now,
+      Heartbeat.HasDisk ? std::optional(consensus::disk_id{Heartbeat.Disk})
+                        : std::nullopt};
   heartbeat_reply_message Reply;
+  for (const auto &Members : {Voters.Voters, Voters.Learners}) {
+    for (const auto &Member : Members) {
+      Reply.ControlNodes.push_back(number(Member.node()));
+    }
+  }
   Reply.LeaderHint = Leader ? number(*Leader) : 0;
   Reply.SendTime = Heartbeat.SendTime;
   if (!Leading || Term == 0) {
@@ -99,6 +110,23 @@
   return Commands;
 }
 
+std::optional<consensus::voter_change>
+leader_duties::voterChange(const consensus::voter_set &Voters, instant Now) {
+  // A new leader first hears the nodes, else it would take them for lost.
+  if (Now < TermStart + VoterCheckDelay ||
+      Now < LastVoterCheck + VoterCheckInterval) {
+    return std::nullopt;
+  }
+  LastVoterCheck = Now;
+  std::vector<membership::control_node> Nodes;
+  for (const auto &[Node, Entry] : Heard) {
+    if (Entry.Disk) {
+      Nodes.push_back({Node, *Entry.Disk, Entry.At});
+    }
+  }
+  return membership::planVoterChange(Voters, Nodes, Now);
+}
+
 std::int64_t leader_duties::logTimeMs(instant Now) const noexcept {
   return TermStartLogMs + toMicros(Now - TermStart) / 1000;
 }
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -1,6 +1,8 @@
 #ifndef ARBUTUS_CONTROL_LEADER_DUTIES_H
 #define ARBUTUS_CONTROL_LEADER_DUTIES_H
 
+#include "consensus/input.h"
+#include "consensus/voter_set.h"
 #include "control/config_pusher.h"
 #include "control/messages.h"
 #include "membership/grantor_placement.h"
@@ -31,8 +33,13 @@
   void onHeartbeat(node_id From, incarnation Incarnation,
                    const heartbeat_message &Heartbeat,
                    std::optional<node_id> Leader, bool Leading,
+                   const consensus::voter_set &Voters,
                    const store::state_machine &Store, instant Now);
 
+  /// The change of voters that is due, if any.
+  [[nodiscard]] std::optional<consensus::voter_change>
+  voterChange(const consensus::voter_set &Voters, instant Now);
+
   /// Carries out what is due and returns commands to propose.
   [[nodiscard]] std::vector<store::command>
   tick(std::uint64_t Term, const store::state_machine &Store, instant Now);
@@ -53,6 +60,7 @@
   struct heard_node {
     membership::known_node Known;
     instant At;
+    std::optional<consensus::disk_id> Disk;
   };
 
   void begin(std::uint64_t NewTerm, const store::state_machine &Store,
@@ -75,6 +83,7 @@
   std::uint64_t SentVersion = 0;
   instant LastPlacement;
   instant LastExpire;
+  instant LastVoterCheck;
   bool OrphansAbandoned = false;
 };
 
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -44,8 +44,12 @@
   /// Term and version of the list of live nodes that the sender has.
   std::uint64_t NodesTerm = 0;
   std::uint64_t NodesVersion = 0;
+  /// Identity of the data directory, if the sender is a voter or could be one.
+  bool HasDisk = false;
+  std::uint64_t Disk = 0;
 
-  MSGPACK_DEFINE(Self, Position, SendTime, NodesTerm, NodesVersion)
+  MSGPACK_DEFINE(Self, Position, SendTime, NodesTerm, NodesVersion, HasDisk,
+                 Disk)
 };
 
 /// `heartbeat_reply`: the leader to a node; other voters send only a hint.
@@ -61,9 +65,12 @@
   bool HasNodes = false;
   std::uint64_t NodesVersion = 0;
   std::vector<wire_node> Nodes;
+  /// Nodes that keep the replicated log, as far as the sender knows. The list
+  /// of a leader is complete.
+  std::vector<std::uint32_t> ControlNodes;
 
   MSGPACK_DEFINE(Leader, LeaderHint, Term, Committed, SendTime, LeaseMicros,
-                 Closed, HasNodes, NodesVersion, Nodes)
+                 Closed, HasNodes, NodesVersion, Nodes, ControlNodes)
 };
 
 /// `claim_request`: a store command of a router to the leader.
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -14,6 +14,8 @@
 constexpr auto ExpiryInterval = std::chrono::milliseconds(50);
 /// Time after which a silent leader is no longer taken for the leader.
 constexpr duration LeaderSilence = 900ms;
+/// The configured voters are asked with each of so many heartbeats.
+constexpr std::uint64_t HeartbeatsPerSeedContact = 4;
 
 membership::node_info infoOf(const settings::settings &Settings) {
   membership::node_info Info;
@@ -45,7 +47,11 @@
             [this](node_id To, pool_id Pool, const pool::pool_grant &Grant) {
               Send(To, net::message_kind::PoolGrant,
                    encode(pool_message{number(Pool), encode(Grant)}));
-            }) {}
+            }) {
+  for (const auto &Voter : Settings.Fleet.Control) {
+    ControlNodes.insert(Voter.Id);
+  }
+}
 
 void node_agent::start(router::router_context &GivenContext) {
   Context = &GivenContext;
@@ -57,6 +63,11 @@
 void node_agent::onFrame(node_id From, incarnation Incarnation,
                          net::message_kind Kind, const std::string &Payload) {
   switch (Kind) {
+  case net::message_kind::Heartbeat:
+    if (const auto Heartbeat = decode<heartbeat_message>(Payload)) {
+      onForeignHeartbeat(From, Heartbeat.value());
+    }
+    return;
   case net::message_kind::HeartbeatReply:
     if (const auto Reply = decode<heartbeat_reply_message>(Payload)) {
       onHeartbeatReply(From, Reply.value());
@@ -144,13 +155,54 @@
   Message.SendTime = toMicros(monotonic_clock::now());
   Message.NodesTerm = NodesTerm;
   Message.NodesVersion = NodesVersion;
+  if (OwnDisk) {
+    Message.HasDisk = true;
+    Message.Disk = number(*OwnDisk);
+  }
   const std::string Payload = encode(Message);
   // Every voter hears it, so that a new leader knows the nodes at once.
-  for (const auto &Voter : Settings.Fleet.Control) {
-    Send(Voter.Id, net::message_kind::Heartbeat, Payload);
+  auto Receivers = ControlNodes;
+  const bool LeaderSilent =
+      monotonic_clock::now() > LeaderHeard + LeaderSilence;
+  if (LeaderSilent || Heartbeats % HeartbeatsPerSeedContact == 0) {
+    for (const auto &Voter : Settings.Fleet.Control) {
+      Receivers.insert(Voter.Id);
+    }
+  }
+  ++Heartbeats;
+  for (const node_id Receiver : Receivers) {
+    Send(Receiver, net::message_kind::Heartbeat, Payload);
   }
 }
 
+void node_agent::learnControlNodes(const heartbeat_reply_message &Reply) {
+  if (Reply.ControlNodes.empty()) {
+    return;
+  }
+  if (Reply.Leader) {
+    ControlNodes.clear();
+  }
+  for (const auto Number : Reply.ControlNodes) {
+    ControlNodes.insert(node_id{Number});
+  }
+}
+
+void node_agent::onForeignHeartbeat(node_id From,
+                                    const heartbeat_message &Heartbeat) {
+  // This node is no voter, but the sender was told to ask it: it passes on
+  // what it knows.
+  if (Heartbeat.HasDisk &&
+      monotonic_clock::now() > LeaderHeard + LeaderSilence) {
+    ControlNodes.insert(From);
+  }
+  heartbeat_reply_message Reply;
+  Reply.LeaderHint = LeaderNode ? number(*LeaderNode) : 0;
+  for (const node_id Node : ControlNodes) {
+    Reply.ControlNodes.push_back(number(Node));
+  }
+  Send(From, net::message_kind::HeartbeatReply, encode(Reply));
+}
+
 void node_agent::armHeartbeat() {
   HeartbeatTimer.expires_after(HeartbeatInterval);
   HeartbeatTimer.async_wait([this](const asio::error_code &Error) {
@@ -174,6 +226,9 @@
 void node_agent::onHeartbeatReply(node_id From,
                                   const heartbeat_reply_message &Reply) {
   const instant Now = monotonic_clock::now();
+  if (!Reply.Leader || Reply.Term >= LeaderTerm) {
+    learnControlNodes(Reply);
+  }
   if (!Reply.Leader) {
     const bool Unknown = !LeaderNode || Now > LeaderHeard + LeaderSilence;
     if (Unknown && Reply.LeaderHint != 0) {
@@ -277,8 +332,8 @@
     return;
   }
   // Only the leader acts on it, so asking all voters is safe.
-  for (const auto &Voter : Settings.Fleet.Control) {
-    Send(Voter.Id, Kind, Payload);
+  for (const node_id Node : ControlNodes) {
+    Send(Node, Kind, Payload);
   }
 }
 
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_CONTROL_NODE_AGENT_H
 #define ARBUTUS_CONTROL_NODE_AGENT_H
 
+#include "consensus/voter_set.h"
 #include "control/leader_channel.h"
 #include "control/messages.h"
 #include "control/pool_host.h"
@@ -14,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace arbutus::control {
@@ -54,10 +56,20 @@
   /// Announces that this node is leaving, in the next heartbeat.
   void announceLeaving();
 
+  /// Identity of this node's data directory, told in heartbeats.
+  void setDisk(consensus::disk_id Disk) { OwnDisk = Disk; }
+
+  /// Nodes that keep the replicated log, as far as this node knows.
+  [[nodiscard]] const std::set<node_id> &controlNodes() const noexcept {
+    return ControlNodes;
+  }
+
   [[nodiscard]] leader_channel &leader() noexcept { return Leader; }
 
 private:
   void heartbeat();
+  void learnControlNodes(const heartbeat_reply_message &Reply);
+  void onForeignHeartbeat(node_id From, const heartbeat_message &Heartbeat);
   void armHeartbeat();
   void armExpiry();
   void onHeartbeatReply(node_id From, const heartbeat_reply_message &Reply);
@@ -79,6 +91,11 @@
   router::router_context *Context = nullptr;
   store::config_replica Replica;
   std::shared_ptr<const store::config_view> View;
+  /// Where heartbeats go. The configured voters or seeds are asked too while
+  /// no leader is known, and now and then, since they may be other nodes.
+  std::set<node_id> ControlNodes;
+  std::optional<consensus::disk_id> OwnDisk;
+  std::uint64_t Heartbeats = 0;
   std::optional<node_id> LeaderNode;
   instant LeaderHeard;
   std::uint64_t LeaderTerm = 0;
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -228,6 +228,7 @@
     return false;
   }
   Voter = std::move(Started.value());
+  Agent.setDisk(Voter->status().Disk);
   return true;
 }
 
@@ -284,9 +285,15 @@
                   const std::string &Payload) {
   if (To == Settings.Node.Id) {
     receive(To, Context.Incarnation.load(), Kind, Payload);
-  } else {
-    Mesh->send(To, Kind, Payload);
+    return;
+  }
+  if (!Mesh->hasPeer(To)) {
+    const auto Address = settings::meshAddressOf(Settings.Fleet, To);
+    if (!Address.empty()) {
+      Mesh->addPeer({To, Address.text()});
+    }
   }
+  Mesh->send(To, Kind, Payload);
 }
 
 void server::receive(node_id From, incarnation Incarnation,
@@ -301,8 +308,12 @@
         reach(From, Payload);
       }
       Voter->post({From, Incarnation, Kind, std::move(Payload)});
+      return;
     }
-    return;
+    if (Kind != net::message_kind::Heartbeat) {
+      return;
+    }
+    [[fallthrough]];
   default:
     asio::post(Io,
                [this, From, Incarnation, Kind, Payload = std::move(Payload)] {
@@ -324,6 +335,12 @@
 
 void server::onNodes(const std::vector<membership::live_node> &Nodes) {
   auto Peers = configuredPeers(Settings);
+  for (const node_id Node : Agent.controlNodes()) {
+    const auto Address = settings::meshAddressOf(Settings.Fleet, Node);
+    if (Node != Settings.Node.Id && !lists(Peers, Node) && !Address.empty()) {
+      Peers.push_back({Node, Address.text()});
+    }
+  }
   for (const auto &Node : Nodes) {
     if (Node.Info.Node != Settings.Node.Id && !lists(Peers, Node.Info.Node)) {
       Peers.push_back({Node.Info.Node, Node.Info.MeshAddress});
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -62,6 +62,7 @@
   void handleCommand(const voter_frame &Frame, instant Now);
   void handleApi(const voter_frame &Frame, instant Now);
   void syncInstances(const std::vector<store::named_instance> &Found);
+  void changeVoters(instant Now);
   void step(const consensus::input &Input, instant Now);
   void propose(instant Now);
   void carryOut(instant Now);
@@ -76,6 +77,7 @@
   void storageFailed(const storage::storage_error &Error, instant Now);
 
   node_id Self;
+  consensus::disk_id Disk;
   send_function Send;
   storage::durable_log Log;
   consensus::raft_node Raft;
@@ -111,10 +113,12 @@
 
 voter::state::state(const settings::settings &Settings,
                     const send_function &Send, storage::opened_log Opened)
-    : Self(Settings.Node.Id), Send(Send), Log(std::move(Opened.Log)),
+    : Self(Settings.Node.Id), Disk(Opened.Disk), Send(Send),
+      Log(std::move(Opened.Log)),
       Raft(raftOptions(Settings, Opened.Disk), Opened.Recovered,
            std::mt19937_64(std::random_device{}()), monotonic_clock::now()),
       Duties(Settings.Node.Id, Send) {
+  Status.Disk = Disk;
   if (Opened.Recovered.Snapshot) {
     const auto &Snapshot = *Opened.Recovered.Snapshot;
     if (Store.restore(*Snapshot.Data).has_error()) {
@@ -175,6 +179,7 @@
       if (Found) {
         syncInstances(*Found);
       }
+      changeVoters(Now);
     } else {
       Duties.stop();
     }
@@ -219,7 +224,8 @@
   const auto Heartbeat = decode<heartbeat_message>(Frame.Payload);
   if (Heartbeat.has_value()) {
     Duties.onHeartbeat(Frame.From, Frame.Incarnation, Heartbeat.value(),
-                       Raft.currentStatus().Leader, leading(Now), Store, Now);
+                       Raft.currentStatus().Leader, leading(Now),
+                       Raft.currentStatus().Voters, Store, Now);
   }
 }
 
@@ -266,6 +272,20 @@
   Queue.push_back({store::makeCommand(std::move(*Sync)), {}});
 }
 
+void voter::state::changeVoters(instant Now) {
+  const auto Change = Duties.voterChange(Raft.currentStatus().Voters, Now);
+  if (!Change) {
+    return;
+  }
+  step(*Change, Now);
+  const auto &Refused = Outputs.back().Refused;
+  logEvent(log_level::Info, "voter_change",
+           {{"change", nameOf(Change->Kind)},
+            {"peer", number(Change->Node)},
+            {"disk", number(Change->Disk)},
+            {"refused", Refused ? nameOf(Refused->Reason) : "no"}});
+}
+
 void voter::state::step(const consensus::input &Input, instant Now) {
   auto Output = Raft.step(Input, Now);
   for (const auto &Message : Output.EarlyMessages) {
@@ -434,6 +454,7 @@
   Status.Applied = Applied;
   Status.LogBytes = Log.logBytes();
   Status.StorageFailed = Failed;
+  Status.Disk = Disk;
 }
 
 void voter::state::storageFailed(const storage::storage_error &Error,
--- a/src/control/voter.h
+++ b/src/control/voter.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_CONTROL_VOTER_H
 
 #include "base/ids.h"
+#include "consensus/voter_set.h"
 #include "net/message_kind.h"
 #include "settings/settings.h"
 #include "storage/storage_error.h"
@@ -30,6 +31,8 @@
   std::uint64_t Applied = 0;
   std::uint64_t LogBytes = 0;
   bool StorageFailed = false;
+  /// Identity of the data directory.
+  consensus::disk_id Disk{};
 };
 
 /// Creates the data directory of one of the first voters. It is a step of its
--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -160,7 +160,7 @@
         return;
       }
     }
-    if (!Guard.accept(Header)) {
+    if (!Guard.accept(Header, Now)) {
       count(mesh_drop::ReplayedOrOldIncarnation);
       return;
     }
--- a/src/settings/endpoint.cpp
+++ b/src/settings/endpoint.cpp
@@ -59,4 +59,11 @@
   return node_id{ntohl(Address.s_addr)};
 }
 
+std::string addressOfNode(node_id Node) {
+  const in_addr Address{htonl(number(Node))};
+  std::array<char, INET_ADDRSTRLEN> Text{};
+  inet_ntop(AF_INET, &Address, Text.data(), Text.size());
+  return Text.data();
+}
+
 } // namespace arbutus::settings
--- a/src/settings/endpoint.h
+++ b/src/settings/endpoint.h
@@ -30,6 +30,9 @@
 /// Node number that stands for an IPv4 address; nothing for any other text.
 [[nodiscard]] std::optional<node_id> nodeOfAddress(std::string_view Ip);
 
+/// The reverse of `nodeOfAddress`.
+[[nodiscard]] std::string addressOfNode(node_id Node);
+
 } // namespace arbutus::settings
 
 #endif
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -158,6 +158,7 @@
                impl::error_list &Errors) {
   const auto Port =
       Reader.integer("seed_mesh_port", PortNumbers, presence::Required);
+  Fleet.CommonMeshPort = static_cast<std::uint16_t>(Port.value_or(0));
   for (const auto &Text : Reader.texts("seeds", presence::Required)) {
     const auto Seed = parseEndpoint(Text.Value);
     const auto Id = Seed ? nodeOfAddress(Seed->Ip) : std::nullopt;
@@ -166,8 +167,7 @@
                  "\"" + Text.Value + "\" is not an IPv4 address and port");
       continue;
     }
-    const endpoint Mesh{Seed->Ip, static_cast<std::uint16_t>(Port.value_or(1))};
-    Fleet.Control.push_back({*Id, Mesh});
+    Fleet.Control.push_back({*Id, endpoint{Seed->Ip, Fleet.CommonMeshPort}});
   }
 }
 
@@ -325,6 +325,13 @@
 
 } // namespace
 
+endpoint meshAddressOf(const fleet_settings &Fleet, node_id Node) {
+  if (Fleet.CommonMeshPort == 0) {
+    return {};
+  }
+  return {addressOfNode(Node), Fleet.CommonMeshPort};
+}
+
 result<settings, settings_errors>
 readSettings(const std::filesystem::path &File) {
   std::ifstream Stream(File, std::ios::binary);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -54,6 +54,8 @@
   /// The voters, in the order of the file. With `seeds` in place of `control`
   /// their numbers come from their addresses.
   std::vector<voter_settings> Control;
+  /// Mesh port of all VMs where nodes are numbered by address, else 0.
+  std::uint16_t CommonMeshPort = 0;
   /// True at the first start of the whole fleet: a voter then creates its data
   /// directory by itself.
   bool Bootstrap = false;
@@ -125,6 +127,10 @@
   testing_settings Testing;
 };
 
+/// Mesh address of a node that is known by its number alone, or an empty
+/// endpoint where numbers do not come from addresses.
+[[nodiscard]] endpoint meshAddressOf(const fleet_settings &Fleet, node_id Node);
+
 /// Reads and checks a settings file together with its key file. On failure the
 /// result holds every fault of the file, in the order of lines.
 [[nodiscard]] result<settings, settings_errors>
--- /dev/null
+++ b/tests/membership/test_voter_plan.cpp
@@ -0,0 +1,115 @@
+#include "membership/voter_plan.h"
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::membership;
+using consensus::change_kind;
+using consensus::disk_id;
+using consensus::voter_set;
+
+namespace {
+
+constexpr instant Now(60s);
+
+struct heard {
+  std::uint32_t Node;
+  std::uint64_t Disk;
+  int SilentMs;
+};
+
+voter_set setOf(const std::vector<std::pair<int, int>> &Voters,
+                const std::vector<std::pair<int, int>> &Learners) {
+  voter_set Set;
+  for (const auto &[Node, Disk] : Voters) {
+    Set.Voters.emplace_back(node_id(Node), disk_id(Disk));
+  }
+  for (const auto &[Node, Disk] : Learners) {
+    Set.Learners.emplace_back(node_id(Node), disk_id(Disk));
+  }
+  return Set;
+}
+
+std::string planned(const voter_set &Set, const std::vector<heard> &Heard) {
+  std::vector<control_node> Nodes;
+  for (const auto &One : Heard) {
+    Nodes.push_back({node_id{One.Node}, disk_id{One.Disk},
+                     Now - std::chrono::milliseconds(One.SilentMs)});
+  }
+  const auto Change = planVoterChange(Set, Nodes, Now);
+  if (!Change) {
+    return "none";
+  }
+  return std::string(nameOf(Change->Kind)) + " " +
+         std::to_string(number(Change->Node)) + "/" +
+         std::to_string(number(Change->Disk));
+}
+
+} // namespace
+
+// Guards against a fleet that stays without its full number of voters after a
+// lost disk or a replaced VM, and against the removal of a voter that only
+// pauses.
+TEST_CASE("the next change of voters follows from who is heard") {
+  struct row {
+    std::string What;
+    voter_set Set;
+    std::vector<heard> Heard;
+    std::string Expected;
+  };
+  const auto Three = setOf({{1, 0}, {2, 0}, {3, 0}}, {});
+  const std::vector<row> Rows = {
+      {"all live", Three, {{1, 0, 0}, {2, 0, 0}, {3, 0, 0}}, "none"},
+      {"a lost disk",
+       Three,
+       {{1, 0, 0}, {2, 9, 0}, {3, 0, 0}},
+       "add_learner 2/9"},
+      {"its learner is promoted",
+       setOf({{1, 0}, {3, 0}}, {{2, 9}}),
+       {{1, 0, 0}, {2, 9, 0}, {3, 0, 0}},
+       "promote 2/0"},
+      {"a voter that pauses stays",
+       Three,
+       {{1, 0, 0}, {2, 0, 4000}, {3, 0, 0}},
+       "none"},
+      {"a lost voter without a successor stays",
+       Three,
+       {{1, 0, 0}, {2, 0, 9000}, {3, 0, 0}},
+       "none"},
+      {"a successor joins for a lost voter",
+       Three,
+       {{1, 0, 0}, {2, 0, 9000}, {3, 0, 0}, {4, 7, 0}},
+       "add_learner 4/7"},
+      {"no fourth voter without need",
+       Three,
+       {{1, 0, 0}, {2, 0, 0}, {3, 0, 0}, {4, 7, 0}},
+       "none"},
+      {"the lost voter goes once its successor votes",
+       setOf({{1, 0}, {2, 0}, {3, 0}, {4, 7}}, {}),
+       {{1, 0, 0}, {2, 0, 9000}, {3, 0, 0}, {4, 7, 0}},
+       "remove 2/0"},
+      {"a learner that is gone is dropped",
+       setOf({{1, 0}, {2, 0}, {3, 0}}, {{4, 7}}),
+       {{1, 0, 0}, {2, 0, 0}, {3, 0, 0}, {4, 7, 9000}},
+       "remove 4/0"},
+      {"a learner with yet another disk is replaced",
+       setOf({{1, 0}, {3, 0}}, {{2, 9}}),
+       {{1, 0, 0}, {2, 10, 0}, {3, 0, 0}},
+       "add_learner 2/10"},
+      {"six nodes with disks make five voters",
+       Three,
+       {{1, 0, 0}, {2, 0, 0}, {3, 0, 0}, {4, 7, 0}, {5, 8, 0}, {6, 9, 0}},
+       "add_learner 4/7"},
+      {"five voters stay five while two are silent",
+       setOf({{1, 0}, {2, 0}, {3, 0}, {4, 7}, {5, 8}}, {}),
+       {{1, 0, 0}, {2, 0, 9000}, {3, 0, 0}, {4, 7, 9000}, {5, 8, 0}},
+       "none"},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    CHECK(planned(Row.Set, Row.Heard) == Row.Expected);
+  }
+}
--- a/tests/net/test_mesh_frame.cpp
+++ b/tests/net/test_mesh_frame.cpp
@@ -110,18 +110,34 @@
     std::uint64_t Incarnation;
     std::uint64_t Sequence;
     bool Accepted;
+    int Second = 0;
   };
   const std::vector<row> Rows = {
-      {1, 5, 10, true},  {1, 5, 10, false}, {1, 5, 9, false}, {1, 5, 12, true},
-      {1, 5, 11, false}, {2, 5, 1, true},   {1, 6, 1, true},  {1, 5, 99, false},
-      {1, 6, 2, true},   {1, 4, 1, false},  {2, 5, 2, true},
+      {1, 5, 10, true},
+      {1, 5, 10, false},
+      {1, 5, 9, false},
+      {1, 5, 12, true},
+      {1, 5, 11, false},
+      {2, 5, 1, true},
+      {1, 6, 1, true},
+      {1, 5, 99, false},
+      {1, 6, 2, true},
+      {1, 4, 1, false},
+      {2, 5, 2, true},
+      // After a restart with a clock that went back, and a long silence, the
+      // smaller incarnation counts, and only it.
+      {1, 4, 2, false, 1},
+      {1, 4, 3, true, 3},
+      {1, 4, 3, false, 3},
+      {1, 4, 4, true, 3},
   };
   replay_guard Guard;
   for (std::size_t I = 0; I < Rows.size(); ++I) {
     CAPTURE(I);
     const auto &Row = Rows[I];
     CHECK(Guard.accept({message_kind::Raft, node_id{Row.Sender}, Self,
-                        incarnation{Row.Incarnation}, Row.Sequence}) ==
+                        incarnation{Row.Incarnation}, Row.Sequence},
+                       instant(std::chrono::seconds(Row.Second))) ==
           Row.Accepted);
   }
 }
