Let one router decide on the requests of a cell of upstreams

Cause: each router saw a tenth of the load. Ruled out: slow engines; the same prompts one after the other left no stream late. Change: an owner a cell answers which upstream takes a request. It knows the prompt tokens under way at each engine, models its cache, sends the next prompt only when about a chunk waits, and queues teams in fair order.

--- a/src/balance/local_pool.cpp
+++ b/src/balance/local_pool.cpp
@@ -4,34 +4,41 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace arbutus::balance {
 
 namespace {
 
-/// Load that the first and the second upstream of an affinity may have above
-/// the others before requests go elsewhere. Reading a shared prompt again
-/// costs more than a short queue.
-constexpr double FirstChoiceBonus = 0.35;
-constexpr double SecondChoiceBonus = 0.15;
-/// Weight of recent failures against load.
-constexpr double FailurePenalty = 1.0;
+/// Requests of a team that are looked at when the first cannot be sent.
+constexpr std::size_t MostLookedAt = 16;
+/// Cost of one running request when engines are compared, in prompt tokens: it
+/// slows the steps of the others a little.
+constexpr double RunningCostTokens = 100;
+/// Cost of reading a shared prompt again that another engine keeps, per token
+/// and beside the reading itself. It uses capacity that all callers share, so
+/// a request rather waits for the engine that has it, up to a few chunks.
+constexpr double RereadCost = 2;
+/// Load of an engine whose requests all fail, in prompt tokens.
+constexpr double FailureCostTokens = 20'000;
+/// Load of a plain upstream whose requests all fail, in requests.
+constexpr double FailureCostRequests = 12;
 /// Share of the newest result in the failure rate.
 constexpr double FailureWeight = 0.1;
 /// Time without requests after the first failed connection; it doubles with
 /// each further one.
 constexpr duration FirstAvoidance = 500ms;
 constexpr std::uint32_t MostDoublings = 3;
+/// Part of a cold upstream's rate that one pool uses. Two pools may send to it
+/// for a moment, while routers do not agree on who owns its cell.
+constexpr double ColdShare = 0.6;
 /// Time without requests after an upstream had no room.
 constexpr duration RefusalPause = 100ms;
 
-/// Order of the upstreams for requests of one affinity, the same at every
-/// router (rendezvous hashing). Other requests get an order each, which
-/// spreads them over upstreams of equal load.
+/// Varies the order among upstreams of equal load.
 std::uint64_t rankOf(const queued_request &Request, const std::string &Name,
                      std::uint64_t Seed) {
-  return Request.Affinity != 0 ? hash64(Name, Request.Affinity)
-                               : hash64(Name, Request.RequestId + Seed);
+  return hash64(Name, Request.RequestId + Seed);
 }
 
 } // namespace
@@ -43,9 +50,10 @@
     const auto Known = Upstreams.find(Facts.Id);
     const bool Same = Known != Upstreams.end() &&
                       Known->second.Facts.StartedMs == Facts.StartedMs;
-    auto Load = Same ? Known->second : upstream_load{};
+    auto Load = Same ? std::move(Known->second) : upstream_load{};
     const bool TurnsCold = Facts.ColdRate > 0 && Load.Facts.ColdRate <= 0;
     Load.Facts = Facts;
+    Load.Cache.setCapacity(Facts.CacheTokens);
     if (TurnsCold) {
       // Each router begins at its own moment, so that the first requests of
       // the fleet do not arrive together.
@@ -62,8 +70,8 @@
   Upstreams = std::move(Next);
 }
 
-void local_pool::setRouters(std::uint32_t Count) noexcept {
-  Routers = std::max(1U, Count);
+void local_pool::setSharers(std::uint32_t Count) noexcept {
+  Sharers = std::max(1U, Count);
 }
 
 std::optional<upstream_id> local_pool::enqueue(queued_request Request,
@@ -76,8 +84,8 @@
       return Upstream;
     }
   }
-  Waiting.emplace(Request.RequestId, std::pair(Request.Team, Request.Deadline));
-  Deadlines.emplace(Request.Deadline, Request.RequestId);
+  Waiting.emplace(Request.RequestId, std::pair(Request.Team, Request.SendBy));
+  SendBy.emplace(Request.SendBy, Request.RequestId);
   auto &Queue = Queues[Request.Team];
   if (Queue.empty()) {
     Order.setBacklogged(Request.Team, true);
@@ -91,9 +99,9 @@
   if (Found == Waiting.end()) {
     return false;
   }
-  const auto [Team, Deadline] = Found->second;
+  const auto [Team, Until] = Found->second;
   Waiting.erase(Found);
-  Deadlines.erase({Deadline, RequestId});
+  SendBy.erase({Until, RequestId});
   auto &Queue = Queues[Team];
   std::erase_if(Queue, [RequestId](const auto &Request) {
     return Request.RequestId == RequestId;
@@ -153,35 +161,61 @@
 
 std::vector<dispatch> local_pool::takeReady(instant Now) {
   std::vector<dispatch> Ready;
-  while (auto Next = takeNext(Now)) {
+  const auto AnyRoom = [&] {
+    return std::any_of(Upstreams.begin(), Upstreams.end(),
+                       [&](const auto &Entry) {
+                         return accepts(Entry.second, Now) &&
+                                hasRoom(Entry.second, Sharers, Now);
+                       });
+  };
+  while (!Waiting.empty() && AnyRoom()) {
+    const auto Next = takeNext(Now);
+    if (!Next) {
+      break;
+    }
     Ready.push_back(*Next);
   }
   return Ready;
 }
 
+std::optional<dispatch>
+local_pool::findReady(const std::deque<queued_request> &Queue,
+                      instant Now) const {
+  const std::size_t Most = std::min(Queue.size(), MostLookedAt);
+  for (std::size_t I = 0; I < Most; ++I) {
+    if (const auto Upstream = choose(Queue[I], Now)) {
+      return dispatch{Queue[I].RequestId, *Upstream};
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<dispatch> local_pool::takeNext(instant Now) {
-  std::optional<upstream_id> Upstream;
+  std::optional<dispatch> Ready;
   const auto Team = Order.pick([&](team_id Candidate) {
     const auto Queue = Queues.find(Candidate);
-    if (Queue == Queues.end() || Queue->second.empty()) {
-      return false;
-    }
-    Upstream = choose(Queue->second.front(), Now);
-    return Upstream.has_value();
+    Ready =
+        Queue == Queues.end() ? std::nullopt : findReady(Queue->second, Now);
+    return Ready.has_value();
   });
   if (!Team) {
     return std::nullopt;
   }
-  const queued_request Request = Queues.at(*Team).front();
+  const auto &Queue = Queues.at(*Team);
+  const auto Found =
+      std::find_if(Queue.begin(), Queue.end(), [&](const auto &Request) {
+        return Request.RequestId == Ready->RequestId;
+      });
+  const queued_request Request = *Found;
   cancel(Request.RequestId);
-  send(Request, *Upstream, Now);
-  return dispatch{Request.RequestId, *Upstream};
+  send(Request, Ready->Upstream, Now);
+  return Ready;
 }
 
 std::vector<std::uint64_t> local_pool::expire(instant Now) {
   std::vector<std::uint64_t> Expired;
-  while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
-    Expired.push_back(Deadlines.begin()->second);
+  while (!SendBy.empty() && SendBy.begin()->first <= Now) {
+    Expired.push_back(SendBy.begin()->second);
     cancel(Expired.back());
   }
   return Expired;
@@ -198,69 +232,94 @@
   return Found == Upstreams.end() ? nullptr : &Found->second;
 }
 
+std::uint64_t local_pool::fewestMissing(const queued_request &Request) const {
+  std::uint64_t Fewest = std::numeric_limits<std::uint64_t>::max();
+  for (const auto &[Id, Load] : Upstreams) {
+    if (Load.Facts.Usable) {
+      Fewest = std::min(Fewest, Load.Cache.missingTokens(Request.Prompt));
+    }
+  }
+  return Fewest;
+}
+
+double local_pool::scoreOf(const queued_request &Request,
+                           const upstream_load &Load,
+                           std::uint64_t FewestMissing, instant Now) const {
+  const double Requests = estimatedRequests(Load, Sharers, Now);
+  if (!Load.Facts.Model) {
+    return Requests / std::max(1U, Load.Facts.Slots) +
+           FailureCostRequests * Load.FailureRate;
+  }
+  const auto Missing = Load.Cache.missingTokens(Request.Prompt);
+  return static_cast<double>(Load.PrefillTokens * Sharers + Missing) +
+         RereadCost * static_cast<double>(Missing - FewestMissing) +
+         RunningCostTokens * Requests + FailureCostTokens * Load.FailureRate;
+}
+
 std::optional<upstream_id> local_pool::choose(const queued_request &Request,
                                               instant Now) const {
-  struct candidate {
-    upstream_id Id{};
-    double Load = 0;
-    double Penalty = 0;
-    std::uint64_t Rank = 0;
-  };
-  std::vector<candidate> Open;
+  const auto Fewest = fewestMissing(Request);
+  const upstream_load *Best = nullptr;
+  double BestScore = 0;
+  std::uint64_t BestRank = 0;
   for (const auto &[Id, Load] : Upstreams) {
     const bool Excluded =
         std::find(Request.Excluded.begin(), Request.Excluded.end(), Id) !=
         Request.Excluded.end();
-    if (!Excluded && accepts(Load, Now)) {
-      Open.push_back({Id, relativeLoad(Load, Routers, Now),
-                      FailurePenalty * Load.FailureRate,
-                      rankOf(Request, Load.Facts.Name, Seed)});
+    if (Excluded || !accepts(Load, Now)) {
+      continue;
     }
-  }
-  std::sort(Open.begin(), Open.end(), [](const auto &Left, const auto &Right) {
-    return Left.Rank > Right.Rank;
-  });
-  if (Request.Affinity != 0) {
-    constexpr double Bonus[] = {FirstChoiceBonus, SecondChoiceBonus};
-    for (std::size_t I = 0; I < std::min(Open.size(), std::size(Bonus)); ++I) {
-      Open[I].Penalty -= Bonus[I];
+    const double Score = scoreOf(Request, Load, Fewest, Now);
+    const auto Rank = rankOf(Request, Load.Facts.Name, Seed);
+    if (Best == nullptr || Score < BestScore ||
+        (Score == BestScore && Rank > BestRank)) {
+      Best = &Load;
+      BestScore = Score;
+      BestRank = Rank;
     }
   }
-  const candidate *Best = nullptr;
-  for (const auto &Candidate : Open) {
-    if (Candidate.Load < 1 &&
-        (Best == nullptr ||
-         Candidate.Load + Candidate.Penalty < Best->Load + Best->Penalty)) {
-      Best = &Candidate;
-    }
+  // A full upstream that is the best all the same is worth waiting for.
+  if (Best == nullptr || !hasRoom(*Best, Sharers, Now)) {
+    return std::nullopt;
   }
-  return Best == nullptr ? std::nullopt : std::optional(Best->Id);
+  return Best->Facts.Id;
 }
 
 void local_pool::send(const queued_request &Request, upstream_id Upstream,
                       instant Now) {
   auto &Load = Upstreams.at(Upstream);
+  const auto Missing = Load.Cache.missingTokens(Request.Prompt);
+  Load.Cache.use(Request.Prompt);
   ++Load.InFlight;
   ++Load.SentSince;
-  Load.PrefillTokens += Request.PromptTokens;
+  Load.PrefillTokens += Missing;
   if (Load.Facts.ColdRate > 0) {
     Load.NextCold = Now + coldInterval(Load);
   }
-  Running[Request.RequestId] = {Upstream, Request.PromptTokens};
+  Running[Request.RequestId] = {Upstream, Missing};
   Order.charge(Request.Team, Request.Cost);
 }
 
+void local_pool::adopt(std::uint64_t RequestId, upstream_id Upstream) {
+  const auto Found = Upstreams.find(Upstream);
+  if (Found != Upstreams.end() &&
+      Running.emplace(RequestId, running_request{Upstream, 0}).second) {
+    ++Found->second.InFlight;
+  }
+}
+
 void local_pool::endPrefill(running_request &Request) {
   const auto Found = Upstreams.find(Request.Upstream);
   if (Found != Upstreams.end()) {
     auto &Tokens = Found->second.PrefillTokens;
-    Tokens -= std::min(Tokens, Request.PromptTokens);
+    Tokens -= std::min(Tokens, Request.PrefillTokens);
   }
-  Request.PromptTokens = 0;
+  Request.PrefillTokens = 0;
 }
 
 duration local_pool::coldInterval(const upstream_load &Load) const {
-  const double Seconds = Routers / std::max(Load.Facts.ColdRate, 0.01);
+  const double Seconds =
+      Sharers / std::max(ColdShare * Load.Facts.ColdRate, 0.01);
   return duration(std::llround(Seconds * 1e6));
 }
 
--- a/src/balance/local_pool.h
+++ b/src/balance/local_pool.h
@@ -32,18 +32,18 @@
   Neutral,     ///< says nothing, for example a caller that left
 };
 
-/// One router's share of the upstreams of one service: chooses upstreams by
-/// load and prompt affinity, and queues requests per team while all are full.
-/// It needs no message to other routers; what they do shows in the load that
-/// upstreams report. Not thread-safe; every time is an argument.
+/// Upstreams that are interchangeable: chooses one for each request by load
+/// and by what it keeps of the prompt, and queues requests per team while the
+/// best one is full. Not thread-safe; every time is an argument.
 class local_pool {
 public:
   /// `Seed` spreads the first requests to cold upstreams over the routers.
   explicit local_pool(std::uint64_t Seed) noexcept : Seed(Seed) {}
 
   void setUpstreams(const std::vector<upstream_facts> &List, instant Now);
-  /// Number of routers that share the upstreams.
-  void setRouters(std::uint32_t Count) noexcept;
+  /// Number of pools that send to the same upstreams without knowing of each
+  /// other; 1 when this one sees all requests.
+  void setSharers(std::uint32_t Count) noexcept;
 
   /// Sends a request now or queues it.
   [[nodiscard]] std::optional<upstream_id> enqueue(queued_request Request,
@@ -57,9 +57,12 @@
   /// Takes an upstream's report of its load.
   void onLoad(upstream_id Upstream, const reported_load &Load);
 
+  /// Counts a request that another pool has sent.
+  void adopt(std::uint64_t RequestId, upstream_id Upstream);
+
   /// Waiting requests that can be sent now, in fair order.
   [[nodiscard]] std::vector<dispatch> takeReady(instant Now);
-  /// Removes and returns waiting requests whose deadline has passed.
+  /// Removes and returns waiting requests that should have been sent by now.
   [[nodiscard]] std::vector<std::uint64_t> expire(instant Now);
 
   [[nodiscard]] std::size_t waiting() const noexcept { return Waiting.size(); }
@@ -69,23 +72,30 @@
 private:
   struct running_request {
     upstream_id Upstream{};
-    std::uint64_t PromptTokens = 0;
+    std::uint64_t PrefillTokens = 0;
   };
 
   [[nodiscard]] std::optional<upstream_id> choose(const queued_request &Request,
                                                   instant Now) const;
+  [[nodiscard]] double scoreOf(const queued_request &Request,
+                               const upstream_load &Load,
+                               std::uint64_t FewestMissing, instant Now) const;
+  [[nodiscard]] std::uint64_t
+  fewestMissing(const queued_request &Request) const;
   void send(const queued_request &Request, upstream_id Upstream, instant Now);
   void endPrefill(running_request &Running);
   [[nodiscard]] duration coldInterval(const upstream_load &Load) const;
   [[nodiscard]] std::optional<dispatch> takeNext(instant Now);
+  [[nodiscard]] std::optional<dispatch>
+  findReady(const std::deque<queued_request> &Queue, instant Now) const;
 
   std::uint64_t Seed;
-  std::uint32_t Routers = 1;
+  std::uint32_t Sharers = 1;
   std::map<upstream_id, upstream_load> Upstreams;
   std::unordered_map<std::uint64_t, running_request> Running;
   std::map<team_id, std::deque<queued_request>> Queues;
   std::unordered_map<std::uint64_t, std::pair<team_id, instant>> Waiting;
-  std::set<std::pair<instant, std::uint64_t>> Deadlines;
+  std::set<std::pair<instant, std::uint64_t>> SendBy;
   pool::fair_queue Order;
 };
 
--- a/src/balance/queued_request.h
+++ b/src/balance/queued_request.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_BALANCE_QUEUED_REQUEST_H
 #define ARBUTUS_BALANCE_QUEUED_REQUEST_H
 
+#include "balance/prompt_chunk.h"
 #include "base/clock.h"
 #include "base/ids.h"
 
@@ -11,19 +12,18 @@
 
 /// What the choice of an upstream needs to know about a request.
 struct queued_request {
-  /// Unique in this process.
+  /// Unique in the pool that queues it.
   std::uint64_t RequestId = 0;
   team_id Team{};
   /// Work that is charged to the team: tokens, or 1 for a plain call.
   double Cost = 1;
-  /// Tokens of the prompt, 0 for a plain call.
-  std::uint64_t PromptTokens = 0;
-  /// Hash of the part of the prompt that other requests share; requests with
-  /// the same value should meet at one upstream. 0 if there is none.
-  std::uint64_t Affinity = 0;
+  /// The prompt's parts in order; empty for a plain call.
+  std::vector<prompt_chunk> Prompt;
   /// Upstreams that this request has failed at.
   std::vector<upstream_id> Excluded;
-  instant Deadline;
+  /// A request that was not sent by then is refused, because its answer would
+  /// come too late.
+  instant SendBy;
 };
 
 } // namespace arbutus::balance
--- a/src/balance/upstream_load.cpp
+++ b/src/balance/upstream_load.cpp
@@ -8,19 +8,21 @@
 
 /// Reports that are older say nothing about the load now.
 constexpr duration ReportLifetime = 2s;
-/// Prompt tokens that one upstream reads in about half a second. More of them
-/// in its queue delay first tokens beyond most objectives.
-constexpr double PrefillBudgetTokens = 24'000;
+/// Prompt tokens that may wait at an engine when another prompt is sent to it.
+/// While an engine reads prompts without a pause, each output token takes as
+/// long as a chunk of prompt, and every stream on it stalls. With about one
+/// chunk in its queue the engine never idles, and it generates between prompts.
+constexpr std::uint64_t PrefillGateTokens = 4096;
 /// Requests that a plain service may hold for each of its slots, running and
 /// waiting: one of each keeps its slots busy between two requests.
 constexpr double RequestsPerSlot = 2;
 
 } // namespace
 
-double estimatedRequests(const upstream_load &Load, std::uint32_t Routers,
+double estimatedRequests(const upstream_load &Load, std::uint32_t Sharers,
                          instant Now) {
   if (!Load.Reported || Now - Load.Reported->At > ReportLifetime) {
-    return static_cast<double>(Load.InFlight) * std::max(1U, Routers);
+    return static_cast<double>(Load.InFlight) * std::max(1U, Sharers);
   }
   const double Estimate =
       static_cast<double>(Load.Reported->Running + Load.Reported->Waiting) +
@@ -29,14 +31,14 @@
   return std::max<double>(Estimate, Load.InFlight);
 }
 
-double relativeLoad(const upstream_load &Load, std::uint32_t Routers,
-                    instant Now) {
-  const double Requests = estimatedRequests(Load, Routers, Now);
-  const double Share =
-      Requests / (RequestsPerSlot * std::max(1U, Load.Facts.Slots));
-  const double Prefill = static_cast<double>(Load.PrefillTokens) *
-                         std::max(1U, Routers) / PrefillBudgetTokens;
-  return std::max(Share, Prefill);
+bool hasRoom(const upstream_load &Load, std::uint32_t Sharers, instant Now) {
+  const double Slots = std::max(1U, Load.Facts.Slots);
+  const double Requests = estimatedRequests(Load, Sharers, Now);
+  if (Load.Facts.Model) {
+    return Requests < Slots &&
+           Load.PrefillTokens * std::max(1U, Sharers) < PrefillGateTokens;
+  }
+  return Requests < RequestsPerSlot * Slots;
 }
 
 bool accepts(const upstream_load &Load, instant Now) noexcept {
--- a/src/balance/upstream_load.h
+++ b/src/balance/upstream_load.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_BALANCE_UPSTREAM_LOAD_H
 #define ARBUTUS_BALANCE_UPSTREAM_LOAD_H
 
+#include "balance/prompt_cache.h"
 #include "base/clock.h"
 #include "base/ids.h"
 
@@ -18,6 +19,10 @@
   /// Requests that it runs at once.
   std::uint32_t Slots = 1;
   bool Usable = true;
+  /// True for an engine that reads prompts and batches requests.
+  bool Model = false;
+  /// Tokens that a model engine keeps.
+  std::uint64_t CacheTokens = 0;
   /// Requests a second that the whole fleet may send while it is cold; 0 if it
   /// is warm.
   double ColdRate = 0;
@@ -34,15 +39,15 @@
   instant At;
 };
 
-/// What one router knows about an upstream's load.
+/// What a pool knows about an upstream's load.
 struct upstream_load {
   upstream_facts Facts;
-  /// Requests of this router that are in flight.
+  /// Requests of this pool that are in flight.
   std::uint32_t InFlight = 0;
-  /// Prompt tokens of those that have no first byte of an answer yet.
+  /// Prompt tokens still to be read of those without a first byte of an answer.
   std::uint64_t PrefillTokens = 0;
   std::optional<reported_load> Reported;
-  /// Requests sent and ended by this router since the report.
+  /// Requests sent and ended by this pool since the report.
   std::uint32_t SentSince = 0;
   std::uint32_t EndedSince = 0;
   /// Share of requests that failed lately, 0 to 1.
@@ -52,16 +57,18 @@
   instant AvoidUntil{};
   /// Earliest instant of the next request to a cold upstream.
   instant NextCold{};
+  prompt_cache Cache;
 };
 
 /// Requests of the whole fleet that are probably at the upstream now.
-/// `Routers` is the number of routers that share the load.
+/// `Sharers` is the number of pools that send to it without knowing of each
+/// other.
 [[nodiscard]] double estimatedRequests(const upstream_load &Load,
-                                       std::uint32_t Routers, instant Now);
+                                       std::uint32_t Sharers, instant Now);
 
-/// Load relative to what the upstream should take; 1 or more is full.
-[[nodiscard]] double relativeLoad(const upstream_load &Load,
-                                  std::uint32_t Routers, instant Now);
+/// True if the upstream has room for one more request now.
+[[nodiscard]] bool hasRoom(const upstream_load &Load, std::uint32_t Sharers,
+                           instant Now);
 
 /// True if a request may be sent now, its load apart.
 [[nodiscard]] bool accepts(const upstream_load &Load, instant Now) noexcept;
--- a/src/control/gateway.cpp
+++ b/src/control/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "traffic/entry_addresses.h"
 #include "traffic/traffic_flow.h"
+#include <asio/post.hpp>
 
 namespace arbutus::control {
 
@@ -27,9 +28,10 @@
 gateway::gateway(const settings::settings &Settings,
                  const traffic::site_adapter &Adapter,
                  router::router_context &Context,
-                 const router::front_hooks &Hooks, router::shard &Shard)
+                 const router::front_hooks &Hooks, router::shard &Shard,
+                 traffic::traffic_pools::send_function Send)
     : Settings(Settings), Adapter(Adapter), Context(Context), Hooks(Hooks),
-      Shard(Shard), Traffic(Context, Shard, Adapter.Codec) {
+      Shard(Shard), Traffic(Context, Shard, Adapter.Codec, std::move(Send)) {
   listen(Settings.Gateway.Requests, [this](const exchange_ptr &Exchange) {
     traffic::handleTraffic(Traffic, Exchange);
   });
@@ -54,6 +56,13 @@
                                                        std::move(Handler)));
 }
 
+void gateway::postMessage(node_id From, net::message_kind Kind,
+                          std::string Payload) {
+  asio::post(Shard.Io, [this, From, Kind, Payload = std::move(Payload)] {
+    Traffic.Pools.onMessage(From, Kind, Payload);
+  });
+}
+
 void gateway::stopAccepting() {
   if (!Servers.empty()) {
     Servers.front()->stopAccepting();
--- a/src/control/gateway.h
+++ b/src/control/gateway.h
@@ -20,10 +20,13 @@
   /// Opens the listeners. Throws std::exception when a port cannot be opened.
   gateway(const settings::settings &Settings,
           const traffic::site_adapter &Adapter, router::router_context &Context,
-          const router::front_hooks &Hooks, router::shard &Shard);
+          const router::front_hooks &Hooks, router::shard &Shard,
+          traffic::traffic_pools::send_function Send);
   gateway(const gateway &) = delete;
   gateway &operator=(const gateway &) = delete;
 
+  /// Takes a message about slots, on any thread.
+  void postMessage(node_id From, net::message_kind Kind, std::string Payload);
   /// Stops taking connections for requests; open ones go on.
   void stopAccepting();
   /// Ends the requests that still run.
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -15,6 +15,7 @@
 #include <asio/signal_set.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <thread>
 
@@ -114,6 +115,7 @@
   router::router_context Context;
   router::front_hooks Hooks;
   std::vector<std::unique_ptr<io_thread>> Threads;
+  std::atomic<gateway *> SlotReceiver = nullptr;
   instant StopAt = instant::max();
   bool Draining = false;
   bool Ending = false;
@@ -263,9 +265,13 @@
           [this, &Shard](const std::shared_ptr<net::http_exchange> &Exchange) {
             router::handleExchange(Context, Hooks, Shard, Exchange);
           });
-      if (Adapter != nullptr && Settings.Gateway.enabled()) {
-        Thread->Gateway = std::make_unique<gateway>(Settings, *Adapter, Context,
-                                                    Hooks, Shard);
+      // One shard serves the gateway, so that one pool knows all its slots.
+      if (I == 0 && Adapter != nullptr && Settings.Gateway.enabled()) {
+        Thread->Gateway = std::make_unique<gateway>(
+            Settings, *Adapter, Context, Hooks, Shard,
+            [this](node_id To, net::message_kind Kind,
+                   const std::string &Payload) { send(To, Kind, Payload); });
+        SlotReceiver = Thread->Gateway.get();
       }
     } catch (const std::exception &Error) {
       logEvent(
@@ -299,6 +305,13 @@
 void server::receive(node_id From, incarnation Incarnation,
                      net::message_kind Kind, std::string Payload) {
   switch (Kind) {
+  case net::message_kind::SlotRequest:
+  case net::message_kind::SlotReply:
+  case net::message_kind::SlotEvents:
+    if (auto *Receiver = SlotReceiver.load()) {
+      Receiver->postMessage(From, Kind, std::move(Payload));
+    }
+    return;
   case net::message_kind::Raft:
   case net::message_kind::Heartbeat:
   case net::message_kind::ClaimRequest:
--- a/src/net/message_kind.h
+++ b/src/net/message_kind.h
@@ -21,10 +21,13 @@
   ClaimDone = 9,
   ApiRequest = 10,
   ApiReply = 11,
+  SlotRequest = 12,
+  SlotReply = 13,
+  SlotEvents = 14,
 };
 
 /// Size of an array that is indexed by the number of a message kind.
-inline constexpr std::size_t MessageKindSlots = 12;
+inline constexpr std::size_t MessageKindSlots = 15;
 
 } // namespace arbutus::net
 
@@ -44,6 +47,9 @@
       {kind::ClaimDone, "claim_done"},
       {kind::ApiRequest, "api_request"},
       {kind::ApiReply, "api_reply"},
+      {kind::SlotRequest, "slot_request"},
+      {kind::SlotReply, "slot_reply"},
+      {kind::SlotEvents, "slot_events"},
   };
 };
 
--- a/src/router/request_error.cpp
+++ b/src/router/request_error.cpp
@@ -25,6 +25,8 @@
     {request_error::HeaderTooLarge, 431, 0, "the headers exceed the limit"},
     {request_error::BodyTooLarge, 413, 0, "the body exceeds the limit"},
     {request_error::QueueFull, 429, 1, "the team's queue is full"},
+    {request_error::Overloaded, 503, 1,
+     "no upstream could take the request in time"},
     {request_error::NotServing, 503, 1,
      "this node cannot prove its configuration; use another address"},
     {request_error::NoUpstream, 503, 2,
--- a/src/traffic/caller_request.h
+++ b/src/traffic/caller_request.h
@@ -28,6 +28,7 @@
   std::string Key;
   /// How long the caller will wait from now on, if it says so.
   std::optional<duration> TimeLeft;
+  std::string Model;
   std::uint64_t PromptTokens = 0;
   /// Most tokens that may be generated.
   std::uint64_t MaxOutputTokens = 0;
--- a/src/traffic/traffic_admission.cpp
+++ b/src/traffic/traffic_admission.cpp
@@ -32,12 +32,30 @@
   return Route.Targets.front().Service;
 }
 
-/// Hash of the deepest part of the prompt that other requests share.
-std::uint64_t affinityOf(const caller_request &Caller) {
-  if (Caller.Prompt.size() < 2) {
-    return 0;
+/// The prompt's parts, each with the hash of all parts up to it.
+std::vector<balance::prompt_chunk> promptOf(const caller_request &Caller) {
+  std::vector<balance::prompt_chunk> Prompt;
+  std::uint64_t Hash = hash64(Caller.Model);
+  for (const auto &Part : Caller.Prompt) {
+    Hash = hash64(Part.Id, Hash);
+    Prompt.push_back({Hash, Part.Tokens});
   }
-  return hash64(Caller.Prompt[Caller.Prompt.size() - 2].Id);
+  if (Prompt.empty() && Caller.PromptTokens != 0) {
+    Prompt.push_back({hash64(Caller.Id, Hash), Caller.PromptTokens});
+  }
+  return Prompt;
+}
+
+/// Longest wait for an upstream. Of a stream's objective the engine needs the
+/// rest to read the prompt; a plain call that waits longer comes late.
+duration longestWait(const store::traffic_route &Route) {
+  constexpr double StreamShare = 0.4;
+  constexpr double PlainShare = 0.8;
+  const double Share =
+      Route.Kind == store::request_kind::Stream ? StreamShare : PlainShare;
+  const double Millis =
+      Route.ObjectiveMs != 0 ? Route.ObjectiveMs : Route.TimeoutMs;
+  return duration(static_cast<std::int64_t>(Millis * Share * 1000));
 }
 
 double costOf(const caller_request &Caller) {
@@ -104,8 +122,9 @@
   Request->Deadline =
       Request->Arrived + std::min(Timeout, Caller.TimeLeft.value_or(Timeout));
   Request->Cost = costOf(Caller);
-  Request->Affinity = Request->Route->PrefixAffinity ? affinityOf(Caller) : 0;
-  Shard.Pools.follow(State);
+  Request->Prompt = promptOf(Caller);
+  Request->SendBy = std::min(Request->Deadline,
+                             Request->Arrived + longestWait(*Request->Route));
   return Request;
 }
 
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -78,7 +78,7 @@
     Shard.Pools.onLoad(Request->Service, Request->Call.Upstream,
                        *Request->Call.Facts.Load);
   }
-  Shard.Pools.complete(Request->Service, Request->Id, Health);
+  Shard.Pools.end(Request->Id, Health);
   if (Request->Phase == request_phase::Finished) {
     return; // aborted
   }
@@ -122,7 +122,7 @@
   auto &Call = Request->Call;
   if (!Call.FirstByte) {
     Call.FirstByte = true;
-    Request->Shard.Pools.onFirstByte(Request->Service, Request->Id);
+    Request->Shard.Pools.onFirstByte(Request->Id);
   }
   const bool PassOn = Request->isStream() && answerIsValid(*Request) &&
                       Call.Status < FirstFailureStatus;
@@ -178,8 +178,7 @@
 
 /// Gives a slot back that the request does not use.
 void returnSlot(const traffic_request &Request) {
-  Request.Shard.Pools.complete(Request.Service, Request.Id,
-                               call_health::Neutral);
+  Request.Shard.Pools.end(Request.Id, call_health::Neutral);
 }
 
 void callUpstream(const traffic_request_ptr &Request, upstream_id Upstream) {
@@ -223,7 +222,7 @@
       Shard.Shard.Client.start(makeCall(Request, *Instance, Now));
 }
 
-void onDispatched(const traffic_request_ptr &Request, upstream_id Upstream) {
+void onSlot(const traffic_request_ptr &Request, upstream_id Upstream) {
   if (Request->CallerGone || Request->Phase != request_phase::Waiting) {
     returnSlot(*Request);
     return;
@@ -234,36 +233,32 @@
 void enqueueRequest(const traffic_request_ptr &Request) {
   auto &Shard = Request->Shard;
   Request->Phase = request_phase::Waiting;
-  if (!Shard.Pools.anyUsable(Request->Service)) {
+  if (!Shard.Pools.anyUsable(Request->Service, Request->Excluded)) {
     failTraffic(Request, request_error::NoUpstream, run_outcome::NotRun);
     return;
   }
-  balance::queued_request Queued;
-  Queued.RequestId = Request->Id;
-  Queued.Team = Shard.Pools.teamNumber(Request->teamName());
-  Queued.Cost = Request->Cost;
-  Queued.PromptTokens = Request->Caller.PromptTokens;
-  Queued.Affinity = Request->Affinity;
-  Queued.Excluded = Request->Excluded;
-  Queued.Deadline = Request->Deadline;
-  waiting_callbacks Callbacks;
-  Callbacks.OnDispatch = [Request](upstream_id Upstream) {
-    onDispatched(Request, Upstream);
+  slot_wish Wish;
+  Wish.RequestId = Request->Id;
+  Wish.Service = Request->Service;
+  Wish.Team = Request->teamName();
+  Wish.Cost = Request->Cost;
+  Wish.Prompt = Request->Prompt;
+  Wish.Excluded = Request->Excluded;
+  Wish.SendBy = Request->SendBy;
+  slot_callbacks Callbacks;
+  Callbacks.OnSend = [Request](upstream_id Upstream) {
+    onSlot(Request, Upstream);
   };
-  Callbacks.OnExpired = [Request] {
-    failTraffic(Request, request_error::DeadlineExceeded, run_outcome::NotRun);
+  Callbacks.OnRefused = [Request] {
+    failTraffic(Request, request_error::Overloaded, run_outcome::NotRun);
   };
-  const auto Upstream = Shard.Pools.enqueue(Request->Service, std::move(Queued),
-                                            std::move(Callbacks));
-  if (Upstream) {
-    callUpstream(Request, *Upstream);
-  }
+  Shard.Pools.request(std::move(Wish), std::move(Callbacks));
 }
 
 void onCallerGone(const traffic_request_ptr &Request) {
   Request->CallerGone = true;
   if (Request->Phase == request_phase::Waiting) {
-    Request->Shard.Pools.cancel(Request->Service, Request->Id);
+    Request->Shard.Pools.end(Request->Id, call_health::Neutral);
     endAbandoned(Request);
   } else if (Request->Phase == request_phase::Calling &&
              Request->Route->Kind != store::request_kind::NonIdempotent) {
@@ -287,6 +282,7 @@
 void handleTraffic(traffic_shard &Shard,
                    const std::shared_ptr<net::http_exchange> &Exchange) {
   const auto Caller = Shard.Codec.ReadRequest(Exchange->request());
+  Shard.Pools.follow();
   const auto Admitted = admitTraffic(Shard, Exchange, Caller);
   if (Admitted.has_error()) {
     Shard.Context.Metrics.countError(Admitted.error());
@@ -313,7 +309,7 @@
       continue;
     }
     if (Request->Phase == request_phase::Waiting) {
-      Shard.Pools.cancel(Request->Service, Request->Id);
+      Shard.Pools.end(Request->Id, call_health::Neutral);
       failTraffic(Request, request_error::ShuttingDown, run_outcome::NotRun);
     } else {
       Shard.Shard.Client.cancel(Request->Call.Call);
--- a/src/traffic/traffic_pools.h
+++ b/src/traffic/traffic_pools.h
@@ -1,8 +1,13 @@
 #ifndef ARBUTUS_TRAFFIC_TRAFFIC_POOLS_H
 #define ARBUTUS_TRAFFIC_TRAFFIC_POOLS_H
 
+#include "balance/cell_map.h"
 #include "balance/local_pool.h"
+#include "base/rcu_snapshot.h"
+#include "net/message_kind.h"
 #include "router/routing_state.h"
+#include "traffic/slot_host.h"
+#include "traffic/slot_messages.h"
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -13,55 +18,120 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace arbutus::traffic {
 
-/// What a waiting request is told, on its own shard.
-struct waiting_callbacks {
-  std::function<void(upstream_id)> OnDispatch;
-  std::function<void()> OnExpired;
+/// A request that is to be sent to an upstream of a service.
+struct slot_wish {
+  std::uint64_t RequestId = 0;
+  std::string Service;
+  std::string Team;
+  double Cost = 1;
+  std::vector<balance::prompt_chunk> Prompt;
+  std::vector<upstream_id> Excluded;
+  instant SendBy;
 };
 
-/// The local pools of all services, with the requests that wait in them. One
-/// shard owns it and is the only user.
+/// What a waiting request is told, on the shard. Never called from inside
+/// `request`.
+struct slot_callbacks {
+  std::function<void(upstream_id)> OnSend;
+  std::function<void()> OnRefused;
+};
+
+/// A router's access to the upstreams of all services: it asks the owner of a
+/// cell which upstream takes a request, and decides by itself while the owner
+/// does not answer. It also hosts the cells that this router owns. One shard
+/// owns it and is the only user.
 class traffic_pools {
 public:
-  traffic_pools(asio::io_context &Io, std::uint64_t Seed);
+  /// Passes a message to another node.
+  using send_function = std::function<void(node_id To, net::message_kind Kind,
+                                           const std::string &Payload)>;
+
+  /// `FirstNumber` must be larger than all numbers of an earlier life of this
+  /// router.
+  traffic_pools(asio::io_context &Io,
+                const rcu_snapshot<router::routing_state> &Routing,
+                node_id Self, std::uint64_t Seed, std::uint64_t FirstNumber,
+                send_function Send);
   traffic_pools(const traffic_pools &) = delete;
   traffic_pools &operator=(const traffic_pools &) = delete;
 
   /// Follows the configuration, instances and routers in force.
-  void follow(const router::routing_state &State);
-
-  /// Returns an upstream if the request may be sent at once; else one of the
-  /// callbacks follows, unless `cancel` returns true.
-  [[nodiscard]] std::optional<upstream_id>
-  enqueue(std::string_view Service, balance::queued_request Request,
-          waiting_callbacks Callbacks);
-  bool cancel(std::string_view Service, std::uint64_t RequestId);
-  void onFirstByte(std::string_view Service, std::uint64_t RequestId);
-  void complete(std::string_view Service, std::uint64_t RequestId,
-                balance::call_health Health);
+  void follow();
+
+  /// Takes a message of another node.
+  void onMessage(node_id From, net::message_kind Kind,
+                 const std::string &Payload);
+
+  /// Asks for an upstream; one of the callbacks follows unless `end` is called
+  /// before.
+  void request(slot_wish Wish, slot_callbacks Callbacks);
+  /// Notes the first byte of an answer.
+  void onFirstByte(std::uint64_t RequestId);
+  /// Ends a request that waits or was sent.
+  void end(std::uint64_t RequestId, balance::call_health Health);
+  /// Takes an upstream's report of its load.
   void onLoad(std::string_view Service, upstream_id Upstream,
               const balance::reported_load &Load);
 
-  /// False if no upstream of the service may take requests at all.
-  [[nodiscard]] bool anyUsable(std::string_view Service) const;
-  [[nodiscard]] std::size_t waiting() const noexcept { return Waiters.size(); }
-  /// Number of a team for fair order, the same while the process runs.
-  [[nodiscard]] team_id teamNumber(std::string_view Team);
+  /// False if no upstream of the service may take the request, whatever their
+  /// load.
+  [[nodiscard]] bool anyUsable(std::string_view Service,
+                               const std::vector<upstream_id> &Excluded) const;
 
 private:
-  [[nodiscard]] balance::local_pool &pool(std::string_view Service);
-  void release(balance::local_pool &Pool);
-  void armTimer();
+  enum class entry_state { Asked, Queued, Local, Sent };
+  struct entry {
+    slot_wish Wish;
+    slot_callbacks Callbacks;
+    entry_state State = entry_state::Asked;
+    balance::cell_key Cell;
+    /// Owner that was asked; nothing when this router decided by itself.
+    std::optional<node_id> Owner;
+    instant AskedAt;
+    std::optional<upstream_id> Upstream;
+  };
+  using entry_map = std::unordered_map<std::uint64_t, entry>;
+
+  void ask(std::uint64_t Number, entry &Entry);
+  void decideLocally(std::uint64_t Number, entry &Entry);
+  void onReply(node_id From, const slot_reply_message &Reply);
+  void sendNow(entry &Entry, upstream_id Upstream);
+  void refuse(std::uint64_t Number);
+  void tell(const entry &Entry, std::uint64_t Number, slot_event_kind Kind,
+            balance::call_health Health);
+  void tellHoldings();
+  void deliver(node_id To, net::message_kind Kind, const std::string &Payload);
+  void checkOwners(instant Now);
+  void runLocal(instant Now);
+  void armCheck();
+  void armHoldings();
+  [[nodiscard]] balance::local_pool &localPool(const std::string &Service);
+  [[nodiscard]] entry_map::iterator find(std::uint64_t RequestId);
 
-  asio::steady_timer Timer;
+  asio::io_context &Io;
+  const rcu_snapshot<router::routing_state> &Routing;
+  asio::steady_timer CheckTimer;
+  asio::steady_timer HoldingsTimer;
+  node_id Self;
   std::uint64_t Seed;
-  bool TimerArmed = false;
-  std::map<std::string, balance::local_pool, std::less<>> Pools;
-  std::unordered_map<std::uint64_t, waiting_callbacks> Waiters;
-  std::map<std::string, team_id, std::less<>> Teams;
+  std::uint64_t LastNumber;
+  send_function Send;
+  bool CheckArmed = false;
+  /// Entries that are not sent yet.
+  std::size_t Waiting = 0;
+  slot_host Host;
+  std::map<std::string, std::vector<balance::cell>, std::less<>> Cells;
+  /// Owners that did not answer, and until when they are not asked.
+  std::map<node_id, instant> Silent;
+  /// Used while an owner is silent.
+  std::map<std::string, balance::local_pool, std::less<>> Local;
+  std::map<std::string, team_id> Teams;
+  entry_map Entries;
+  std::unordered_map<std::uint64_t, std::uint64_t> NumberOfRequest;
   std::shared_ptr<const store::config_view> View;
   std::shared_ptr<const std::vector<membership::live_node>> Nodes;
 };
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -59,8 +59,10 @@
   std::string Body;
   instant Arrived;
   instant Deadline;
+  /// When it must have been sent, so that its answer is still of use.
+  instant SendBy;
   double Cost = 1;
-  std::uint64_t Affinity = 0;
+  std::vector<balance::prompt_chunk> Prompt;
 
   router::request_phase Phase = router::request_phase::Admitted;
   std::uint32_t Attempts = 0;
--- a/src/traffic/traffic_shard.h
+++ b/src/traffic/traffic_shard.h
@@ -14,12 +14,20 @@
 
 struct traffic_request;
 
+/// Numbers of requests grow over the lives of a router: a life has room for a
+/// million requests for each millisecond that it starts after the one before.
+[[nodiscard]] inline std::uint64_t
+firstNumber(const router::router_context &Context) noexcept {
+  return number(Context.Incarnation.load()) << 20U;
+}
+
 /// What one I/O thread needs to route requests by host and path.
 struct traffic_shard {
   traffic_shard(router::router_context &Context, router::shard &Shard,
-                const site_codec &Codec)
+                const site_codec &Codec, traffic_pools::send_function Send)
       : Context(Context), Shard(Shard), Codec(Codec),
-        Pools(Shard.Io, hash64(Context.NodeName)) {}
+        Pools(Shard.Io, Context.Routing, Context.Node, hash64(Context.NodeName),
+              firstNumber(Context), std::move(Send)) {}
 
   router::router_context &Context;
   router::shard &Shard;
