Test the choice of upstreams, the platform's codecs and the HTTP client

The last one found a fault: after an old answer had come before the right one, the connection was kept and a later call could wait on it; mended. The peer mesh's test counted the kinds of messages by a literal; it now takes the table's size.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -208,7 +208,7 @@
     return;
   }
   if (AnswerDone) {
-    Stray = Used < Bytes.size();
+    Stray = Stray || Used < Bytes.size();
     end(call_outcome::Complete);
     return;
   }
--- /dev/null
+++ b/tests/balance/test_cell_map.cpp
@@ -0,0 +1,148 @@
+#include "balance/cell_map.h"
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::balance;
+
+namespace {
+
+std::vector<upstream_facts> upstreams(std::uint32_t Count) {
+  std::vector<upstream_facts> List;
+  for (std::uint32_t I = 1; I <= Count; ++I) {
+    upstream_facts Facts;
+    Facts.Id = upstream_id{I};
+    Facts.Name = "i-" + std::to_string(I);
+    Facts.FailureDomain = std::string(1, static_cast<char>('a' + I % 3));
+    List.push_back(Facts);
+  }
+  return List;
+}
+
+std::vector<membership::live_node> routers(std::uint32_t Count) {
+  std::vector<membership::live_node> Nodes(Count);
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    Nodes[I].Info.Node = node_id{I + 1};
+    Nodes[I].Info.TrafficAddress = "10.0.0." + std::to_string(I + 1) + ":80";
+    Nodes[I].Info.Control = I < 3;
+  }
+  return Nodes;
+}
+
+std::map<std::uint32_t, std::uint32_t>
+placement(const std::vector<cell> &Cells) {
+  std::map<std::uint32_t, std::uint32_t> CellOf;
+  for (const auto &Cell : Cells) {
+    for (const auto &Facts : Cell.Members) {
+      CellOf[number(Facts.Id)] = Cell.Key.Index;
+    }
+  }
+  return CellOf;
+}
+
+} // namespace
+
+// Guards against upstreams that no cell has, and against cells that one router
+// cannot decide on.
+TEST_CASE("every upstream is in one cell of bounded size") {
+  struct row {
+    std::uint32_t Upstreams;
+    std::size_t Cells;
+  };
+  for (const auto &Row :
+       std::vector<row>{{0, 1}, {1, 1}, {12, 1}, {16, 1}, {60, 6}, {140, 15}}) {
+    CAPTURE(Row.Upstreams);
+    const auto Cells = buildCells("s", upstreams(Row.Upstreams), routers(12));
+    CHECK((Row.Upstreams == 0 || Cells.size() == Row.Cells));
+    CHECK(placement(Cells).size() == Row.Upstreams);
+    for (const auto &Cell : Cells) {
+      CHECK(Cell.Members.size() <= 32);
+      REQUIRE(Cell.Owner);
+      CHECK(number(*Cell.Owner) > 3); // voters have other work
+    }
+  }
+}
+
+// Guards against a change of one node or upstream that moves all the others.
+TEST_CASE("a change moves few cells") {
+  const auto Before = buildCells("s", upstreams(60), routers(12));
+  auto Fewer = upstreams(60);
+  Fewer.pop_back();
+  CHECK(placement(buildCells("s", Fewer, routers(12))).size() == 59);
+  auto Moved = placement(Before);
+  std::size_t Same = 0;
+  for (const auto &[Id, Cell] :
+       placement(buildCells("s", Fewer, routers(12)))) {
+    Same += Moved[Id] == Cell ? 1 : 0;
+  }
+  CHECK(Same == 59);
+  auto Nodes = routers(12);
+  const node_id Gone = *Before[0].Owner;
+  std::erase_if(Nodes,
+                [Gone](const auto &Node) { return Node.Info.Node == Gone; });
+  const auto After = buildCells("s", upstreams(60), Nodes);
+  for (std::size_t I = 0; I < Before.size(); ++I) {
+    CAPTURE(I);
+    CHECK((Before[I].Owner == Gone || After[I].Owner == Before[I].Owner));
+    CHECK(After[I].Owner != Gone);
+  }
+}
+
+// Guards against owners that cannot answer.
+TEST_CASE("only live routers own cells") {
+  struct row {
+    std::string What;
+    bool Suspected;
+    bool Leaving;
+    bool Serves;
+    bool Owns;
+  };
+  for (const auto &Row :
+       std::vector<row>{{"live", false, false, true, true},
+                        {"suspected", true, false, true, false},
+                        {"leaving", false, true, true, false},
+                        {"no router", false, false, false, false}}) {
+    CAPTURE(Row.What);
+    auto Nodes = routers(1);
+    Nodes[0].Suspected = Row.Suspected;
+    Nodes[0].Leaving = Row.Leaving;
+    if (!Row.Serves) {
+      Nodes[0].Info.TrafficAddress.clear();
+    }
+    const auto Cells = buildCells("s", upstreams(3), Nodes);
+    REQUIRE(Cells.size() == 1);
+    CHECK(Cells[0].Owner.has_value() == Row.Owns);
+  }
+}
+
+// Guards against cells without upstreams that get requests, and against one
+// that gets most of them.
+TEST_CASE("cells get requests by their usable upstreams") {
+  auto List = upstreams(60);
+  for (auto &Facts : List) {
+    Facts.Usable = Facts.FailureDomain != "b";
+  }
+  const auto Cells = buildCells("s", List, routers(12));
+  std::map<std::uint32_t, int> Chosen;
+  constexpr int Requests = 20'000;
+  for (std::uint64_t Affinity = 1; Affinity <= Requests; ++Affinity) {
+    const auto *Cell = chooseCell(Cells, Affinity * 7919);
+    REQUIRE(Cell != nullptr);
+    ++Chosen[Cell->Key.Index];
+  }
+  for (const auto &Cell : Cells) {
+    const auto Usable =
+        std::count_if(Cell.Members.begin(), Cell.Members.end(),
+                      [](const auto &Facts) { return Facts.Usable; });
+    CAPTURE(Cell.Key.Index, Usable);
+    const double Expected = Requests * static_cast<double>(Usable) / 40;
+    CHECK(Chosen[Cell.Key.Index] >= 0.8 * Expected);
+    CHECK(Chosen[Cell.Key.Index] <= 1.2 * Expected);
+  }
+  CHECK(chooseCell({}, 1) == nullptr);
+}
--- /dev/null
+++ b/tests/balance/test_local_pool.cpp
@@ -0,0 +1,242 @@
+#include "balance/local_pool.h"
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::balance;
+
+namespace {
+
+constexpr instant Start(100s);
+
+upstream_facts engine(std::uint32_t Id, std::uint64_t CacheTokens = 100'000) {
+  upstream_facts Facts;
+  Facts.Id = upstream_id{Id};
+  Facts.Name = "engine-" + std::to_string(Id);
+  Facts.Slots = 64;
+  Facts.Model = true;
+  Facts.CacheTokens = CacheTokens;
+  return Facts;
+}
+
+upstream_facts plain(std::uint32_t Id, std::uint32_t Slots) {
+  upstream_facts Facts;
+  Facts.Id = upstream_id{Id};
+  Facts.Name = "plain-" + std::to_string(Id);
+  Facts.Slots = Slots;
+  return Facts;
+}
+
+queued_request prompt(std::uint64_t Id, std::uint32_t Team,
+                      std::vector<prompt_chunk> Chunks) {
+  queued_request Request;
+  Request.RequestId = Id;
+  Request.Team = team_id{Team};
+  Request.Prompt = std::move(Chunks);
+  Request.Cost = 0;
+  for (const auto &Chunk : Request.Prompt) {
+    Request.Cost += static_cast<double>(Chunk.Tokens);
+  }
+  Request.SendBy = Start + 1s;
+  return Request;
+}
+
+queued_request call(std::uint64_t Id, std::uint32_t Team = 1) {
+  return prompt(Id, Team, {});
+}
+
+std::uint32_t numberOf(std::optional<upstream_id> Upstream) {
+  return Upstream ? number(*Upstream) : 0;
+}
+
+} // namespace
+
+// Guards against streams that stall because several long prompts are read at
+// one engine without a pause.
+TEST_CASE("an engine gets the next prompt when about a chunk waits there") {
+  local_pool Pool(1);
+  Pool.setUpstreams({engine(1)}, Start);
+  REQUIRE(Pool.enqueue(prompt(1, 1, {{11, 9'000}}), Start));
+  CHECK_FALSE(Pool.enqueue(prompt(2, 1, {{12, 500}}), Start));
+  CHECK(Pool.takeReady(Start).empty());
+  Pool.onFirstByte(1);
+  const auto Ready = Pool.takeReady(Start);
+  REQUIRE(Ready.size() == 1);
+  CHECK(Ready[0].RequestId == 2);
+  // A short prompt leaves room for the next one at once.
+  CHECK(Pool.enqueue(prompt(3, 1, {{13, 500}}), Start));
+}
+
+// Guards against shared prompts that every engine reads, which uses capacity
+// for nothing.
+TEST_CASE("requests meet at the engine that has their shared prompt") {
+  struct row {
+    std::string What;
+    std::uint64_t Busy; ///< tokens that the engine with the prompt still reads
+    bool SameEngine;
+  };
+  const std::vector<row> Rows = {
+      {"idle", 0, true},
+      {"busy with a short prompt", 3'000, true},
+      {"busy with a very long prompt", 60'000, false},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    local_pool Pool(1);
+    Pool.setUpstreams({engine(1), engine(2), engine(3)}, Start);
+    const auto First =
+        Pool.enqueue(prompt(1, 1, {{50, 6'000}, {51, 900}}), Start);
+    REQUIRE(First);
+    Pool.onFirstByte(1);
+    Pool.complete(1, call_health::Good, Start);
+    if (Row.Busy > 0) {
+      auto Busy = prompt(2, 1, {{60, Row.Busy}});
+      for (const auto Other : {1U, 2U, 3U}) {
+        if (Other != number(*First)) {
+          Busy.Excluded.push_back(upstream_id{Other});
+        }
+      }
+      REQUIRE(Pool.enqueue(Busy, Start) == First);
+    }
+    const auto Second =
+        Pool.enqueue(prompt(3, 1, {{50, 6'000}, {52, 900}}), Start);
+    CHECK((Second == First) == Row.SameEngine);
+    CHECK(Second.has_value());
+  }
+}
+
+// Guards against a team with many requests that keeps the others from being
+// served.
+TEST_CASE("waiting teams are served in turn by the work that they cause") {
+  local_pool Pool(1);
+  Pool.setUpstreams({engine(1)}, Start);
+  REQUIRE(Pool.enqueue(prompt(1, 1, {{1, 8'000}}), Start));
+  for (std::uint64_t Id = 10; Id < 20; ++Id) {
+    REQUIRE_FALSE(Pool.enqueue(prompt(Id, 1, {{Id, 8'000}}), Start));
+  }
+  REQUIRE_FALSE(Pool.enqueue(prompt(30, 2, {{30, 8'000}}), Start));
+  REQUIRE_FALSE(Pool.enqueue(prompt(31, 2, {{31, 8'000}}), Start));
+  std::vector<std::uint64_t> Order;
+  std::uint64_t Running = 1;
+  for (int I = 0; I < 4; ++I) {
+    Pool.onFirstByte(Running);
+    const auto Ready = Pool.takeReady(Start);
+    REQUIRE(Ready.size() == 1);
+    Running = Ready[0].RequestId;
+    Order.push_back(Running);
+  }
+  CHECK(std::count_if(Order.begin(), Order.end(),
+                      [](auto Id) { return Id >= 30; }) == 2);
+}
+
+// Guards against a plain service that is filled beyond its own queue, and
+// against idle slots while requests wait.
+TEST_CASE("a plain upstream holds two requests for each slot") {
+  local_pool Pool(1);
+  Pool.setUpstreams({plain(1, 2), plain(2, 2)}, Start);
+  std::map<std::uint32_t, int> Sent;
+  for (std::uint64_t Id = 1; Id <= 8; ++Id) {
+    ++Sent[numberOf(Pool.enqueue(call(Id), Start))];
+  }
+  CHECK(Sent == std::map<std::uint32_t, int>{{1, 4}, {2, 4}});
+  CHECK_FALSE(Pool.enqueue(call(9), Start));
+  Pool.complete(3, call_health::Good, Start);
+  CHECK(Pool.takeReady(Start).size() == 1);
+}
+
+// Guards against a cold upstream that gets more than it bears, from one router
+// and from several.
+TEST_CASE("a cold upstream gets requests at its rate") {
+  struct row {
+    std::uint32_t Sharers;
+    double Rate;
+    double MostPerSecond; ///< of one pool
+  };
+  for (const auto &Row : std::vector<row>{{1, 12, 12}, {10, 12, 1.2}}) {
+    CAPTURE(Row.Sharers);
+    local_pool Pool(7);
+    Pool.setSharers(Row.Sharers);
+    auto Cold = engine(1);
+    Cold.ColdRate = Row.Rate;
+    Pool.setUpstreams({Cold}, Start);
+    std::uint64_t Id = 0;
+    int Sent = 0;
+    for (int Millis = 0; Millis < 10'000; Millis += 10) {
+      const instant Now = Start + std::chrono::milliseconds(Millis);
+      auto Request = call(++Id);
+      Request.SendBy = Now;
+      if (Pool.enqueue(Request, Now)) {
+        ++Sent;
+        Pool.complete(Id, call_health::Good, Now);
+      } else {
+        Pool.cancel(Id);
+      }
+    }
+    CHECK(Sent > 0);
+    CHECK(Sent <= Row.MostPerSecond * 10 + 1);
+  }
+}
+
+// Guards against requests that go on to an upstream that cannot be reached, is
+// full, or has left.
+TEST_CASE("an upstream that fails is avoided for a while") {
+  struct row {
+    std::string What;
+    call_health Health;
+    int AfterMs;
+    bool Used;
+  };
+  const std::vector<row> Rows = {
+      {"unreachable", call_health::Unreachable, 100, false},
+      {"unreachable, later", call_health::Unreachable, 600, true},
+      {"refused", call_health::Refused, 50, false},
+      {"refused, later", call_health::Refused, 150, true},
+      {"good", call_health::Good, 0, true},
+      {"the caller left", call_health::Neutral, 0, true},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    local_pool Pool(1);
+    Pool.setUpstreams({plain(1, 4)}, Start);
+    REQUIRE(Pool.enqueue(call(1), Start));
+    Pool.complete(1, Row.Health, Start);
+    const instant Later = Start + std::chrono::milliseconds(Row.AfterMs);
+    CHECK(Pool.enqueue(call(2), Later).has_value() == Row.Used);
+  }
+}
+
+// Guards against waiting requests that are lost or answered twice.
+TEST_CASE("a waiting request is refused at its limit and only once") {
+  local_pool Pool(1);
+  Pool.setUpstreams({plain(1, 1)}, Start);
+  REQUIRE(Pool.enqueue(call(1), Start));
+  REQUIRE(Pool.enqueue(call(2), Start));
+  REQUIRE_FALSE(Pool.enqueue(call(3), Start));
+  REQUIRE_FALSE(Pool.enqueue(call(4), Start));
+  CHECK(Pool.cancel(3));
+  CHECK_FALSE(Pool.cancel(3));
+  CHECK(Pool.expire(Start + 999ms).empty());
+  CHECK(Pool.expire(Start + 1s) == std::vector<std::uint64_t>{4});
+  CHECK(Pool.expire(Start + 2s).empty());
+  CHECK(Pool.waiting() == 0);
+}
+
+// Guards against an upstream that comes back under its name and is taken for
+// one that still holds requests and prompts.
+TEST_CASE("a new run of an upstream starts without load") {
+  local_pool Pool(1);
+  auto Facts = plain(1, 1);
+  Pool.setUpstreams({Facts}, Start);
+  REQUIRE(Pool.enqueue(call(1), Start));
+  REQUIRE(Pool.enqueue(call(2), Start));
+  REQUIRE_FALSE(Pool.enqueue(call(3), Start));
+  Facts.StartedMs = 5;
+  Pool.setUpstreams({Facts}, Start);
+  CHECK(Pool.takeReady(Start).size() == 1);
+  // The old run's requests end without disturbing the count of the new one.
+  Pool.complete(1, call_health::Failed, Start);
+  CHECK(Pool.find(upstream_id{1})->InFlight <= 1);
+}
--- /dev/null
+++ b/tests/net/test_http_client.cpp
@@ -0,0 +1,245 @@
+#include "net/http_client.h"
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::net;
+
+namespace {
+
+using tcp = asio::ip::tcp;
+
+/// What the server does with one request.
+struct reply {
+  std::string Text;
+  enum class after { Keep, Close, Reset } After = after::Keep;
+  /// False: the connection is closed before a request is read.
+  bool ReadsRequest = true;
+};
+
+/// A server that follows a script: one list of replies for each connection, in
+/// the order in which connections are accepted.
+class scripted_server {
+public:
+  explicit scripted_server(std::vector<std::vector<reply>> Script)
+      : Acceptor(Io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        Thread([this, Script = std::move(Script)] { run(Script); }) {}
+  ~scripted_server() { Thread.join(); }
+  scripted_server(const scripted_server &) = delete;
+  scripted_server &operator=(const scripted_server &) = delete;
+
+  [[nodiscard]] std::string url() {
+    return "http://127.0.0.1:" +
+           std::to_string(Acceptor.local_endpoint().port()) + "/x";
+  }
+  /// Requests read; valid after the script has ended.
+  int Requests = 0;
+
+private:
+  void run(const std::vector<std::vector<reply>> &Script) {
+    for (const auto &Replies : Script) {
+      tcp::socket Socket(Io);
+      Acceptor.accept(Socket);
+      for (const auto &Reply : Replies) {
+        asio::error_code Error;
+        if (Reply.ReadsRequest) {
+          asio::streambuf Buffer;
+          asio::read_until(Socket, Buffer, "\r\n\r\n", Error);
+          if (Error) {
+            break;
+          }
+          ++Requests;
+        }
+        asio::write(Socket, asio::buffer(Reply.Text), Error);
+        if (Reply.After == reply::after::Reset) {
+          Socket.set_option(asio::socket_base::linger(true, 0), Error);
+        }
+        if (Reply.After != reply::after::Keep) {
+          Socket.close(Error);
+          break;
+        }
+      }
+      Open.push_back(std::move(Socket));
+    }
+  }
+
+  asio::io_context Io;
+  tcp::acceptor Acceptor;
+  std::vector<tcp::socket> Open;
+  std::thread Thread;
+};
+
+struct result {
+  call_outcome Outcome = call_outcome::Cancelled;
+  int Status = 0;
+  std::string Body;
+};
+
+/// Makes one call and runs the loop until it ends.
+result callOnce(asio::io_context &Io, http_client &Client,
+                const std::string &Url, const std::string &Id = "") {
+  result Result;
+  bool Done = false;
+  http_call Call;
+  Call.Method = "GET";
+  Call.Url = Url;
+  Call.Timeout = 20s;
+  if (!Id.empty()) {
+    Call.IsAnswer = [Id](const http_headers &Headers) {
+      return headerOf(Headers, "Id") == Id;
+    };
+  }
+  Call.OnHeaders = [&](int Status, const http_headers &) {
+    Result.Status = Status;
+  };
+  Call.OnBody = [&](std::string_view Bytes) { Result.Body += Bytes; };
+  Call.OnDone = [&](call_outcome Outcome) {
+    Result.Outcome = Outcome;
+    Done = true;
+  };
+  Client.start(std::move(Call));
+  Io.restart();
+  while (!Done) {
+    Io.run_one();
+  }
+  return Result;
+}
+
+const std::string Ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const std::string OkOf7 =
+    "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok";
+const std::string OkOf6 =
+    "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 3\r\n\r\nold";
+
+} // namespace
+
+// Guards against a cut answer that is taken for a whole one, and against an
+// outcome that says less or more than was seen.
+TEST_CASE("the outcome of a call follows from what the server sent") {
+  using after = reply::after;
+  struct row {
+    std::string What;
+    reply Reply;
+    call_outcome Outcome;
+    std::string Body;
+  };
+  const std::vector<row> Rows = {
+      {"whole", {Ok}, call_outcome::Complete, "ok"},
+      {"cut short",
+       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", after::Close},
+       call_outcome::AnswerBroken,
+       "ok"},
+      {"chunks without the last one",
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        after::Close},
+       call_outcome::AnswerBroken,
+       "ok"},
+      {"no length, ended by the close",
+       {"HTTP/1.1 200 OK\r\n\r\nok", after::Close},
+       call_outcome::Complete,
+       "ok"},
+      {"no length, ended by a reset",
+       {"HTTP/1.1 200 OK\r\n\r\nok", after::Reset},
+       call_outcome::AnswerBroken,
+       ""},
+      {"no answer", {"", after::Close}, call_outcome::SentNoAnswer, ""},
+      {"not HTTP",
+       {"hello there\r\n\r\n", after::Close},
+       call_outcome::SentNoAnswer,
+       ""},
+      {"half a header",
+       {"HTTP/1.1 200 OK\r\nCont", after::Close},
+       call_outcome::SentNoAnswer,
+       ""},
+      {"an interim answer first",
+       {"HTTP/1.1 100 Continue\r\n\r\n" + Ok},
+       call_outcome::Complete,
+       "ok"},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    scripted_server Server({{Row.Reply}});
+    asio::io_context Io;
+    http_client Client(Io);
+    const auto Result = callOnce(Io, Client, Server.url());
+    CHECK(nameOf(Result.Outcome) == nameOf(Row.Outcome));
+    if (!Row.Body.empty()) {
+      CHECK(Result.Body == Row.Body);
+    }
+  }
+}
+
+// Guards against a request that the client sends twice by itself when a kept
+// connection closes, which would run it twice.
+TEST_CASE("a request on a kept connection is never repeated") {
+  scripted_server Server({{{Ok}, {"", reply::after::Close}}, {{Ok}}});
+  asio::io_context Io;
+  http_client Client(Io);
+  const auto Url = Server.url();
+  CHECK(callOnce(Io, Client, Url).Outcome == call_outcome::Complete);
+  CHECK(callOnce(Io, Client, Url).Outcome == call_outcome::SentNoAnswer);
+  // The next call has a connection of its own.
+  CHECK(callOnce(Io, Client, Url).Outcome == call_outcome::Complete);
+}
+
+// Guards against an answer that reaches another request: extra answers, extra
+// bytes, and connections that must not be used again.
+TEST_CASE("an answer reaches only its own call") {
+  struct row {
+    std::string What;
+    std::vector<std::vector<reply>> Script;
+  };
+  const std::vector<row> Rows = {
+      {"an old answer comes first", {{{OkOf6 + OkOf7}}, {{OkOf7}}}},
+      {"an old answer comes late", {{{OkOf7 + OkOf6}}, {{OkOf7}}}},
+      {"bytes behind the answer", {{{OkOf7 + "garbage"}}, {{OkOf7}}}},
+      {"the server closes",
+       {{{"HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\n"
+          "Content-Length: 2\r\n\r\nok"}},
+        {{OkOf7}}}},
+      {"a short idle timeout",
+       {{{"HTTP/1.1 200 OK\r\nId: 7\r\nKeep-Alive: timeout=0\r\n"
+          "Content-Length: 2\r\n\r\nok"}},
+        {{OkOf7}}}},
+      {"a kept connection", {{{OkOf7}, {OkOf7}}}},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    scripted_server Server(Row.Script);
+    asio::io_context Io;
+    http_client Client(Io);
+    const auto Url = Server.url();
+    for (int I = 0; I < 2; ++I) {
+      const auto Result = callOnce(Io, Client, Url, "7");
+      CHECK(Result.Outcome == call_outcome::Complete);
+      CHECK(Result.Body == "ok");
+    }
+  }
+}
+
+// Guards against a call that is said to have been sent although no connection
+// was made.
+TEST_CASE("a call without a connection sent nothing") {
+  asio::io_context Io;
+  http_client Client(Io);
+  std::string Closed;
+  {
+    tcp::acceptor Acceptor(Io,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    Closed =
+        "http://127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port()) +
+        "/";
+  }
+  CHECK(callOnce(Io, Client, Closed).Outcome == call_outcome::NothingSent);
+  CHECK(callOnce(Io, Client, "http://no-address/").Outcome ==
+        call_outcome::NothingSent);
+}
--- a/tests/net/test_peer_mesh.cpp
+++ b/tests/net/test_peer_mesh.cpp
@@ -159,7 +159,11 @@
     CHECK(Frame.From == node_id{1});
     CHECK(Frame.Incarnation == incarnation{5});
     CHECK(Frame.Payload == std::to_string(I));
-    CHECK(Frame.Kind == name_table<message_kind>::Rows[I % 11].Value);
+    CHECK(
+        Frame.Kind ==
+        name_table<message_kind>::Rows[I % std::size(
+                                               name_table<message_kind>::Rows)]
+            .Value);
   }
   const auto Out = Left.Mesh->counters().of(message_kind::ConfigUpdate);
   const auto In = Right.Mesh->counters().of(message_kind::ConfigUpdate);
--- /dev/null
+++ b/tests/platform/test_request_codec.cpp
@@ -0,0 +1,190 @@
+#include "platform/request_codec.h"
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::platform;
+
+namespace {
+
+const std::string *find(const net::http_headers &Headers,
+                        std::string_view Name) {
+  for (const auto &[Known, Value] : Headers) {
+    if (net::sameHeaderName(Known, Name)) {
+      return &Value;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+// Guards against requests that reach the wrong team, wait too long, or miss
+// what the engines cache, because a header was read wrongly.
+TEST_CASE("a caller's headers are decoded") {
+  net::http_request Request;
+  Request.Method = "POST";
+  Request.Target = "/lohu930/2f";
+  Request.Headers = {{"Host", "ficu95.example"},
+                     {"Attempt-Id", "9c41"},
+                     {"Model", "m"},
+                     {"Token-Usage", "1460,80"},
+                     {"Prompt-Prefix", "5c1e:800, 91bd:410,e440:250"},
+                     {"Deadline-Ms", "4000"},
+                     {"Length-Hint", "61"},
+                     {"authorization", "Bearer secret"}};
+  const auto Caller = readRequest(Request);
+  CHECK(Caller.Id == "9c41");
+  CHECK(Caller.Host == "ficu95.example");
+  CHECK(Caller.Key == "secret");
+  CHECK(Caller.TimeLeft == duration(4s));
+  CHECK(Caller.PromptTokens == 1460);
+  CHECK(Caller.MaxOutputTokens == 80);
+  CHECK(Caller.ExpectedOutputTokens == 61);
+  CHECK(Caller.Prompt == std::vector<traffic::prompt_part>{
+                             {"5c1e", 800}, {"91bd", 410}, {"e440", 250}});
+}
+
+// Guards against a bad value that stops a request or is taken for a number.
+TEST_CASE("values that cannot be read count as absent") {
+  struct row {
+    std::string Name;
+    std::string Value;
+  };
+  for (const auto &Row : std::vector<row>{{"Deadline-Ms", "soon"},
+                                          {"Deadline-Ms", "-5"},
+                                          {"Deadline-Ms", ""},
+                                          {"Deadline-Ms", "1e300"},
+                                          {"Token-Usage", "12"},
+                                          {"Token-Usage", "a,b"},
+                                          {"Prompt-Prefix", "5c1e"},
+                                          {"Prompt-Prefix", ":,:x"},
+                                          {"Authorization", "Basic x"},
+                                          {"Authorization", "Bearer"}}) {
+    CAPTURE(Row.Name, Row.Value);
+    net::http_request Request;
+    Request.Headers = {{Row.Name, Row.Value}};
+    const auto Caller = readRequest(Request);
+    CHECK_FALSE(Caller.TimeLeft.has_value());
+    CHECK(Caller.PromptTokens == 0);
+    CHECK(Caller.Prompt.empty());
+    CHECK(Caller.Key.empty());
+  }
+}
+
+// Guards against callers that set what only the fleet may set, and against
+// keys and connection headers that reach an upstream.
+TEST_CASE("headers are passed on unless they end at the router") {
+  struct row {
+    std::string Name;
+    bool Forwarded;
+  };
+  const std::vector<row> Rows = {
+      {"Host", true},
+      {"Attempt-Id", true},
+      {"Prompt-Prefix", true},
+      {"Token-Usage", true},
+      {"Model", true},
+      {"Last-Event-Id", true},
+      {"X-Other", true},
+      {"Authorization", false},
+      {"Tenant", false},
+      {"tenant", false},
+      {"Expect-Instance", false},
+      {"Hold", false},
+      {"Pin-Ms", false},
+      {"Kv-From", false},
+      {"Kv-Backup", false},
+      {"Kv-Fetch", false},
+      {"Transfer-Encoding", false},
+      {"Content-Length", false},
+      {"Connection", false},
+      {"X-Of-Connection", false},
+  };
+  net::http_request Request;
+  for (const auto &Row : Rows) {
+    Request.Headers.emplace_back(Row.Name, Row.Name == "Connection"
+                                               ? "keep-alive, x-of-connection"
+                                               : "value");
+  }
+  const auto Caller = readRequest(Request);
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    CHECK((find(Caller.Forwarded, Row.Name) != nullptr) == Row.Forwarded);
+  }
+}
+
+TEST_CASE("a call names the instance, the team and the time that is left") {
+  net::http_headers Headers;
+  addCallHeaders({"i-7f", "hule930", 1234567us}, Headers);
+  CHECK(Headers == net::http_headers{{"Expect-Instance", "i-7f"},
+                                     {"Tenant", "hule930"},
+                                     {"Deadline-Ms", "1234"}});
+  Headers.clear();
+  addCallHeaders({"i-7f", "", 1s}, Headers);
+  CHECK(find(Headers, "Tenant") == nullptr);
+}
+
+// Guards against an answer to another request, an unsigned success and a false
+// promise that a request has not run.
+TEST_CASE("an answer's headers are decoded") {
+  struct row {
+    std::string What;
+    int Status;
+    net::http_headers Headers;
+    bool Ours;
+    bool Signed;
+    bool NotRun;
+  };
+  const std::vector<row> Rows = {
+      {"signed",
+       200,
+       {{"Attempt-Id", "a1"}, {"Server-Stamp", "s"}},
+       true,
+       true,
+       false},
+      {"of another request",
+       200,
+       {{"Attempt-Id", "a2"}, {"Server-Stamp", "s"}},
+       false,
+       true,
+       false},
+      {"without a signature", 200, {{"Attempt-Id", "a1"}}, true, false, false},
+      {"without an id", 200, {{"Server-Stamp", "s"}}, true, false, false},
+      {"encoded",
+       200,
+       {{"Attempt-Id", "a1"},
+        {"Server-Stamp", "s"},
+        {"Content-Encoding", "gzip"}},
+       true,
+       false,
+       false},
+      {"full", 503, {{"Not-Executed", "1"}}, true, false, true},
+      {"503 without a promise", 503, {}, true, false, false},
+      {"another instance", 421, {}, true, false, true},
+      {"its own failure",
+       500,
+       {{"Attempt-Id", "a1"}, {"Server-Stamp", "s"}},
+       true,
+       false,
+       false},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    CHECK(belongsTo(Row.Headers, "a1") == Row.Ours);
+    const auto Facts = readAnswer(Row.Status, Row.Headers, instant(5s));
+    CHECK(Facts.Signed == Row.Signed);
+    CHECK(Facts.NotRun == Row.NotRun);
+    CHECK_FALSE(Facts.Load.has_value());
+  }
+  const auto Facts = readAnswer(200, {{"Instance-Load", "3,1,8"}}, instant(5s));
+  REQUIRE(Facts.Load.has_value());
+  CHECK(Facts.Load->Running == 3);
+  CHECK(Facts.Load->Waiting == 1);
+  for (const std::string Bad : {"3,1", "a,b,c", "-1,0,8", ""}) {
+    CAPTURE(Bad);
+    CHECK_FALSE(readAnswer(200, {{"Instance-Load", Bad}}, instant(5s)).Load);
+  }
+}
--- /dev/null
+++ b/tests/platform/test_site_codecs.cpp
@@ -0,0 +1,263 @@
+#include "platform/address_codec.h"
+#include "platform/config_codec.h"
+#include "platform/instance_codec.h"
+#include "platform/order_codec.h"
+#include "store/config_rules.h"
+#include "store/resource_json.h"
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::platform;
+
+namespace {
+
+const std::string Document = R"({"version":7,"routes":[
+{"name":"r-1","host":"ficu95.example","path_prefix":"/lohu930/",
+ "kind":"streaming","timeout_ms":5000.0,"target_latency_ms":800,"priority":1,
+ "split":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],
+ "max_attempts":2,"public":false,"sticky":true,"resumable":true,
+ "gap_aim_ms":500},
+{"name":"r-2","host":"ficu95.example","path_prefix":"/x/","kind":"safe",
+ "timeout_ms":3000,"service":"wuno96b"}],
+"services":[{"name":"huvo11a","health_path":"/health","max_connections":390,
+ "protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":12.0,
+ "engine":{"slots":64,"kv_capacity":302285}},
+ {"name":"wuno96b","max_connections":130}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+ "header_timeout_ms":3000,"idle_timeout_ms":15000,"tokens_per_s":190000},
+"tenants":[{"name":"hule930","api_keys":["k1","k2"],"priority":1}],
+"unknown":{"kept":true}})";
+
+net::http_request request(std::string Method, std::string Target,
+                          std::string Body = {}) {
+  net::http_request Request;
+  Request.Method = std::move(Method);
+  Request.Target = std::move(Target);
+  Request.Body = std::move(Body);
+  return Request;
+}
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  const auto At = Text.find(From);
+  REQUIRE(At != std::string::npos);
+  return Text.replace(At, From.size(), To);
+}
+
+} // namespace
+
+// Guards against a configuration that is put in force other than it was sent.
+TEST_CASE("a configuration is decoded and kept as it was sent") {
+  const auto Read = readConfig(Document);
+  REQUIRE(Read.has_value());
+  const auto &Config = Read.value();
+  CHECK(Config.Version == 7);
+  CHECK(Config.Document == Document);
+  REQUIRE(Config.Routes.size() == 2);
+  const auto &Stream = Config.Routes[0];
+  CHECK(Stream.Kind == store::request_kind::Stream);
+  CHECK(Stream.TimeoutMs == 5000);
+  CHECK(Stream.ObjectiveMs == 800);
+  CHECK(Stream.PauseMs == 500);
+  CHECK(Stream.MaxAttempts == 2);
+  CHECK(Stream.PrefixAffinity);
+  CHECK(Stream.Resumable);
+  CHECK(Stream.Targets ==
+        std::vector<store::route_target>{{"huvo11a", 90}, {"wuno96b", 10}});
+  CHECK(Config.Routes[1].Kind == store::request_kind::Idempotent);
+  CHECK(Config.Routes[1].MaxAttempts == 1);
+  REQUIRE(Config.Services.size() == 2);
+  CHECK(Config.Services[0].Model);
+  CHECK(Config.Services[0].CacheTokens == 302285);
+  CHECK(Config.Services[0].ColdRequestsPerSecond == 12.0);
+  CHECK_FALSE(Config.Services[1].Model);
+  REQUIRE(Config.Teams.size() == 1);
+  CHECK(Config.Teams[0].Keys == std::vector<std::string>{"k1", "k2"});
+  CHECK(Config.Limits.TokensPerSecond == 190000);
+  CHECK(store::checkConfig(Config).empty());
+  // The product's own form carries all of it to the leader.
+  const auto Parsed = store::parseConfigText(store::toJson(Config).dump());
+  CHECK(Parsed.Errors.empty());
+  CHECK(Parsed.Config == Config);
+}
+
+// Guards against a configuration that cannot be read in full and is accepted.
+TEST_CASE("a configuration that cannot be read is refused") {
+  struct row {
+    std::string From;
+    std::string To;
+  };
+  const std::vector<row> Rows = {
+      {"\"version\":7,", ""},
+      {"\"version\":7,", "\"version\":-1,"},
+      {"\"version\":7,", "\"version\":\"7\","},
+      {"\"kind\":\"streaming\"", "\"kind\":\"other\""},
+      {"\"path_prefix\":\"/lohu930/\",", ""},
+      {"\"timeout_ms\":5000.0", "\"timeout_ms\":\"5000\""},
+      {"\"timeout_ms\":5000.0", "\"timeout_ms\":-1"},
+      {"\"weight\":90", "\"weight\":1e30"},
+      {"[\"k1\",\"k2\"]", "\"k1\""},
+      {"[\"k1\",\"k2\"]", "[\"k1\",2]"},
+      {"\"public\":false", "\"public\":0"},
+      {"\"unknown\":{\"kept\":true}}", ""},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.From, Row.To);
+    CHECK(readConfig(replaced(Document, Row.From, Row.To)).has_error());
+  }
+  for (const std::string Text : {"", "[]", "7", "{}"}) {
+    CAPTURE(Text);
+    CHECK(readConfig(Text).has_error());
+  }
+}
+
+// Guards against an invalid configuration that is put in force.
+TEST_CASE("faults of a configuration's content are found") {
+  struct row {
+    std::string From;
+    std::string To;
+    std::string Path;
+  };
+  const std::vector<row> Rows = {
+      {"\"timeout_ms\":3000", "\"timeout_ms\":0", "routes[1].timeout_ms"},
+      {"\"path_prefix\":\"/x/\"", "\"path_prefix\":\"/lohu930/\"", "routes[1]"},
+      {"\"path_prefix\":\"/x/\"", "\"path_prefix\":\"/x\"",
+       "routes[1].path_prefix"},
+      {"\"weight\":90},{\"service\":\"wuno96b\",\"weight\":10",
+       "\"weight\":0},{\"service\":\"wuno96b\",\"weight\":0",
+       "routes[0].targets"},
+      {"\"service\":\"huvo11a\",\"weight\"", "\"service\":\"no\",\"weight\"",
+       "routes[0].targets[0].service"},
+      {"\"priority\":1}],",
+       "\"priority\":1},{\"name\":\"b\",\"api_keys\":"
+       "[\"k2\"]}],",
+       "teams[1].keys"},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.From, Row.To);
+    const auto Read = readConfig(replaced(Document, Row.From, Row.To));
+    REQUIRE(Read.has_value());
+    const auto Errors = store::checkConfig(Read.value());
+    REQUIRE(Errors.size() == 1);
+    CHECK(Errors[0].Path == Row.Path);
+  }
+}
+
+// Guards against an entry of another writer that stops the list, or names an
+// upstream that is not one.
+TEST_CASE("entries of the list that cannot be read are left out") {
+  const std::string Good =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":64,)"
+      R"("state":"ready","cold_remaining_ms":0,"id":"i-1","born":1779700000000})";
+  struct row {
+    std::string From;
+    std::string To;
+    bool Read;
+  };
+  const std::vector<row> Rows = {
+      {"ready", "ready", true},
+      {"ready", "draining", true},
+      {"ready", "lost", false},
+      {"\"slots\":64", "\"slots\":\"64\"", false},
+      {"10.0.0.9:80", "host:80", false},
+      {"\"id\":\"i-1\"", "\"id\":7", false},
+      {"\"zone\":\"a\",", "", false},
+      {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":null", false},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.From, Row.To);
+    const auto Page =
+        readInstances(R"({"instances":[)" + replaced(Good, Row.From, Row.To) +
+                      "," + Good + R"(],"next":"p-50"})");
+    REQUIRE(Page.has_value());
+    CHECK(Page->Instances.size() == (Row.Read ? 2 : 1));
+    CHECK(Page->Unreadable == (Row.Read ? 0 : 1));
+    CHECK(Page->Next == "p-50");
+    CHECK(Page->Instances.back().Name == "i-1");
+    CHECK(Page->Instances.back().Spec.StartedMs == 1779700000000);
+  }
+  const auto Page = readInstances(R"({"instances":[1,null,"x"],"next":null})");
+  REQUIRE(Page.has_value());
+  CHECK(Page->Unreadable == 3);
+  CHECK_FALSE(Page->Next.has_value());
+  for (const std::string Bad : {"", "[]", R"({"instances":1})", "{\"inst"}) {
+    CAPTURE(Bad);
+    CHECK_FALSE(readInstances(Bad).has_value());
+  }
+  CHECK(instancesTarget(std::nullopt) == "/instances");
+  CHECK(instancesTarget("p-50") == "/instances?page_token=p-50");
+}
+
+// Guards against orders that are lost between the two interfaces.
+TEST_CASE("an operator's order becomes a call of the resource API") {
+  struct row {
+    net::http_request Request;
+    std::string Call; ///< method and target, or the status of the answer
+    std::string Body;
+  };
+  const std::vector<row> Rows = {
+      {request("GET", "/v1/config"), "GET /api/v1/configuration", ""},
+      {request("PUT", "/v1/config", "{"), "400", ""},
+      {request("POST", "/v1/config"), "405", ""},
+      {request("POST", "/v1/evacuations/akl-a"),
+       "PUT /api/v1/domain_state/akl-a", R"({"state":"out"})"},
+      {request("DELETE", "/v1/evacuations/akl-a"),
+       "PUT /api/v1/domain_state/akl-a", R"({"state":"in"})"},
+      {request("GET", "/v1/evacuations/akl-a"), "404", ""},
+      {request("POST", "/v1/evacuations/"), "404", ""},
+      {request("GET", "/other"), "404", ""},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Request.Method, Row.Request.Target);
+    const auto Plan = planOrder(Row.Request);
+    if (const auto *Call = std::get_if<router::operator_call>(&Plan)) {
+      CHECK(Call->Method + " " + Call->Target == Row.Call);
+      CHECK(Call->Body == Row.Body);
+    } else {
+      CHECK(std::to_string(std::get<net::http_response>(Plan).Status) ==
+            Row.Call);
+    }
+  }
+  const auto Plan = planOrder(request("PUT", "/v1/config", Document));
+  REQUIRE(std::holds_alternative<router::operator_call>(Plan));
+  const auto &Body = std::get<router::operator_call>(Plan).Body;
+  CHECK(store::parseConfigText(Body).Config.Version == 7);
+}
+
+// Guards against an answer that promises more than the leader said.
+TEST_CASE("the leader's answer is written in the platform's form") {
+  const auto Put = request("PUT", "/v1/config");
+  const auto Get = request("GET", "/v1/config");
+  CHECK(answerOrder(Put, {0, ""}).Status == 503);
+  CHECK(answerOrder(Put, {200, "{}"}).Status == 200);
+  CHECK(answerOrder(Put, {422, "{}"}).Status == 422);
+  CHECK(answerOrder(Get, {0, ""}).Status == 503);
+  CHECK(answerOrder(Get, {404, "{}"}).Status == 503);
+  CHECK(answerOrder(Get, {200, "{}"}).Status == 503);
+  nlohmann::json Object;
+  Object["document"] = Document;
+  const auto Answer = answerOrder(Get, {200, Object.dump()});
+  CHECK(Answer.Status == 200);
+  CHECK(Answer.Body == Document);
+}
+
+TEST_CASE("questions for addresses and readiness are answered") {
+  const auto Query = readAddressQuery(
+      request("GET", "/v1/resolve?name=h&region=nz-north&zone=akl-a"));
+  REQUIRE(Query.has_value());
+  CHECK(Query->Region == "nz-north");
+  CHECK(Query->FailureDomain == "akl-a");
+  CHECK_FALSE(readAddressQuery(request("GET", "/v1/other")).has_value());
+  CHECK(writeAddresses({}, 2000ms).Status == 503);
+  const auto Answer = writeAddresses({"10.0.0.1:80"}, 2500ms);
+  CHECK(nlohmann::json::parse(Answer.Body) ==
+        nlohmann::json({{"addresses", {"10.0.0.1:80"}}, {"ttl_s", 2.5}}));
+  CHECK(answerHealth(request("GET", "/v1/ready"), true).Status == 200);
+  CHECK(answerHealth(request("GET", "/v1/ready"), false).Status == 503);
+  CHECK(answerHealth(request("GET", "/x"), true).Status == 404);
+}
