--- a/src/balance/local_pool.cpp
+++ b/src/balance/local_pool.cpp
@@ -201,12 +201,12 @@
   if (!Team) {
     return std::nullopt;
   }
-  const auto &Queue = Queues.at(*Team);
+  auto &Queue = Queues.at(*Team);
   const auto Found =
       std::find_if(Queue.begin(), Queue.end(), [&](const auto &Request) {
         return Request.RequestId == Ready->RequestId;
       });
-  const queued_request Request = *Found;
+  const queued_request Request = std::move(*Found);
   cancel(Request.RequestId);
   send(Request, Ready->Upstream, Now);
   return Ready;
--- a/src/traffic/traffic_end.cpp
+++ b/src/traffic/traffic_end.cpp
@@ -34,16 +34,21 @@
        {"duration_us", toMicros(monotonic_clock::now() - Request.Arrived)}});
 }
 
+/// Headers of the upstream's connection that the server does not drop itself.
+bool isHopHeader(std::string_view Name) {
+  static constexpr std::string_view Names[] = {"trailer", "upgrade", "te",
+                                               "proxy-connection"};
+  return std::any_of(std::begin(Names), std::end(Names), [&](auto Known) {
+    return net::sameHeaderName(Name, Known);
+  });
+}
+
 } // namespace
 
 net::http_headers answerHeaders(const net::http_headers &Headers) {
-  static constexpr std::string_view Dropped[] = {"trailer", "upgrade", "te",
-                                                 "proxy-connection"};
   net::http_headers Kept;
   for (const auto &[Name, Value] : Headers) {
-    if (std::none_of(std::begin(Dropped), std::end(Dropped), [&](auto Known) {
-          return net::sameHeaderName(Name, Known);
-        })) {
+    if (!isHopHeader(Name)) {
       Kept.emplace_back(Name, Value);
     }
   }
--- a/tests/membership/test_voter_plan.cpp
+++ b/tests/membership/test_voter_plan.cpp
@@ -7,7 +7,6 @@
 
 using namespace arbutus;
 using namespace arbutus::membership;
-using consensus::change_kind;
 using consensus::disk_id;
 using consensus::voter_set;
 
@@ -35,6 +34,7 @@
 
 std::string planned(const voter_set &Set, const std::vector<heard> &Heard) {
   std::vector<control_node> Nodes;
+  Nodes.reserve(Heard.size());
   for (const auto &One : Heard) {
     Nodes.push_back({node_id{One.Node}, disk_id{One.Disk},
                      Now - std::chrono::milliseconds(One.SilentMs)});
