--- a/src/traffic/entry_addresses.h
+++ b/src/traffic/entry_addresses.h
@@ -10,8 +10,8 @@
 namespace arbutus::traffic {
 
 /// Addresses that a caller should connect to: routers that are live and not
-/// leaving, those of its own failure domain if there are enough of them, else
-/// those of its region, else all.
+/// leaving, those of its own failure domain if at least half of its usual
+/// number is left, else those of its region, else all. At most 64.
 [[nodiscard]] std::vector<std::string>
 entryAddresses(const std::vector<membership::live_node> &Nodes,
                const address_query &Caller);
