Leave descriptors for new connections when one team floods a router

Ruled out: a blocked thread; requests were still answered. Change: at most 16 idle connections for a server and 400 in all, and a quarter as many requests in progress as descriptors; further ones are refused at once.

--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -51,6 +51,10 @@
   return Peers;
 }
 
+/// A request takes one descriptor for its caller and one for its upstream; as
+/// many again are left for idle connections, peers and files.
+constexpr std::int64_t DescriptorsPerRequest = 4;
+
 /// Time before the process is killed at which it ends by itself.
 constexpr duration KillMargin = 600ms;
 
@@ -142,6 +146,11 @@
           }) {
   Context.HeaderBytes = Settings.Limits.HeaderBytes;
   Context.BodyBytes = Settings.Limits.BodyBytes;
+  if (Settings.Limits.Descriptors != 0) {
+    Context.MostActiveRequests =
+        static_cast<std::int64_t>(Settings.Limits.Descriptors) /
+        DescriptorsPerRequest;
+  }
   Hooks.OperatorKeyHashes = Settings.Fleet.OperatorKeyHashes;
   Hooks.CallLeader = [this](auto Call, auto &Shard, auto Callback) {
     callLeader(std::move(Call), Shard, std::move(Callback));
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -17,8 +17,10 @@
 using impl::client_connection;
 using connection_ptr = std::shared_ptr<client_connection>;
 
-/// Idle connections kept for one server.
-constexpr std::size_t MostIdlePerServer = 64;
+/// Idle connections kept for one server, and for all of them. A burst opens
+/// many, and each holds a descriptor that callers' connections need.
+constexpr std::size_t MostIdlePerServer = 16;
+constexpr std::size_t MostIdle = 400;
 
 /// `authority` of `http://authority/target`.
 std::string authorityOf(std::string_view Url) {
@@ -61,6 +63,7 @@
   /// Calls that were cancelled before the event loop started them.
   std::unordered_map<call_id, http_call> Waiting;
   std::unordered_map<std::string, std::vector<connection_ptr>> Idle;
+  std::size_t IdleCount = 0;
   bool Closed = false;
 
   void begin(call_id Id);
@@ -81,6 +84,7 @@
     // The newest is the least likely to be closed by the server meanwhile.
     auto Connection = std::move(List.back());
     List.pop_back();
+    --IdleCount;
     if (Connection->idleUntil() > monotonic_clock::now()) {
       return Connection;
     }
@@ -92,18 +96,20 @@
 void http_client::state::keep(const std::string &Authority,
                               const connection_ptr &Connection, instant Until) {
   auto &List = Idle[Authority];
-  if (List.size() >= MostIdlePerServer) {
+  if (List.size() >= MostIdlePerServer || IdleCount >= MostIdle) {
     Connection->close();
     return;
   }
   List.push_back(Connection);
-  Connection->waitIdle(Until, [Self = weak_from_this(), Authority,
-                               Raw = Connection.get()] {
-    if (const auto This = Self.lock()) {
-      auto &Kept = This->Idle[Authority];
-      std::erase_if(Kept, [Raw](const auto &One) { return One.get() == Raw; });
-    }
-  });
+  ++IdleCount;
+  Connection->waitIdle(
+      Until, [Self = weak_from_this(), Authority, Raw = Connection.get()] {
+        if (const auto This = Self.lock()) {
+          auto &Kept = This->Idle[Authority];
+          This->IdleCount -= std::erase_if(
+              Kept, [Raw](const auto &One) { return One.get() == Raw; });
+        }
+      });
 }
 
 void http_client::state::begin(call_id Id) {
--- a/src/router/router_context.h
+++ b/src/router/router_context.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 
 namespace arbutus::router {
@@ -39,6 +40,9 @@
 
   std::size_t HeaderBytes = 0;
   std::size_t BodyBytes = 0;
+  /// Requests that may be in progress at once; further ones are refused, so
+  /// that descriptors are left for new connections.
+  std::int64_t MostActiveRequests = std::numeric_limits<std::int64_t>::max();
 
   rcu_snapshot<routing_state> Routing;
   pool_dispatcher Pools;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -24,6 +24,7 @@
 constexpr impl::integer_range BodySizes{1024, 1073741824};
 constexpr impl::integer_range DrainSeconds{1, 3600};
 constexpr impl::integer_range KillSeconds{0, 3600};
+constexpr impl::integer_range DescriptorCounts{0, 1048576};
 constexpr impl::integer_range PortNumbers{1, 65535};
 constexpr impl::integer_range TtlMillis{100, 3600000};
 constexpr impl::integer_range PollMillis{50, 60000};
@@ -291,6 +292,8 @@
          Reader.integer("body_bytes", BodySizes, presence::Optional));
   assign(Limits.Drain,
          Reader.integer("drain_seconds", DrainSeconds, presence::Optional));
+  assign(Limits.Descriptors,
+         Reader.integer("descriptors", DescriptorCounts, presence::Optional));
   assign(Limits.KilledAfter, Reader.integer("killed_after_seconds", KillSeconds,
                                             presence::Optional));
   Reader.finish();
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -102,6 +102,8 @@
   std::size_t HeaderBytes = 16384;
   std::size_t BodyBytes = 1048576;
   std::chrono::seconds Drain{30};
+  /// Descriptors that the process may open, or 0 for no limit of its own.
+  std::size_t Descriptors = 0;
   /// Time from the request to stop until the process is killed, or 0 if it is
   /// not. A shutdown ends before it.
   std::chrono::seconds KilledAfter{0};
--- a/src/traffic/traffic_admission.cpp
+++ b/src/traffic/traffic_admission.cpp
@@ -95,6 +95,9 @@
   if (!router::holdsLease(Context, Request->Arrived)) {
     return request_error::NotServing;
   }
+  if (Context.ActiveRequests.load() > Context.MostActiveRequests) {
+    return request_error::Overloaded;
+  }
   if (Context.Drain.load() == router::drain_phase::Finishing) {
     return request_error::ShuttingDown;
   }
