Refuse at once what its own team's queue makes late

Cause: under load requests waited for two fifths of their objective and were refused then; their callers came back too late to be served on time. Ruled out: refusals of light teams; the estimate counts only a team's own queue and an even share of the served rate. Change: a pool averages what it serves a second; a request that would wait beyond its limit is refused when it arrives. Test: tests/balance/test_local_pool.cpp.

--- a/src/balance/local_pool.cpp
+++ b/src/balance/local_pool.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// Time over which the served rate is averaged.
+constexpr duration RateWindow = 500ms;
 /// Requests of a team that are looked at when the first cannot be sent.
 constexpr std::size_t MostLookedAt = 16;
 /// Cost of one running request when engines are compared, in prompt tokens: it
@@ -74,6 +76,27 @@
   Sharers = std::max(1U, Count);
 }
 
+bool local_pool::canServeInTime(const queued_request &Request,
+                                instant Now) const {
+  // The rate says what can be served only while there is always a next request.
+  if (Waiting.empty() || Now - BackloggedSince < RateWindow) {
+    return true;
+  }
+  const auto Own = QueuedCost.find(Request.Team);
+  const double Ahead = Own == QueuedCost.end() ? 0 : Own->second;
+  const double Teams =
+      static_cast<double>(Queues.size() + (Own == QueuedCost.end() ? 1 : 0));
+  const double Wait = Ahead * Teams / std::max(ServedRate, 1.0);
+  return Wait <= toSeconds(Request.SendBy - Now);
+}
+
+void local_pool::noteServed(double Cost, instant Now) {
+  const double Window = toSeconds(RateWindow);
+  ServedRate *= std::exp(-toSeconds(Now - RateAt) / Window);
+  ServedRate += Cost / Window;
+  RateAt = Now;
+}
+
 std::optional<upstream_id> local_pool::enqueue(queued_request Request,
                                                instant Now) {
   // A request that arrives while others wait joins them, so that it does not
@@ -84,6 +107,10 @@
       return Upstream;
     }
   }
+  if (Waiting.empty()) {
+    BackloggedSince = Now;
+  }
+  QueuedCost[Request.Team] += Request.Cost;
   Waiting.emplace(Request.RequestId, std::pair(Request.Team, Request.SendBy));
   SendBy.emplace(Request.SendBy, Request.RequestId);
   auto &Queue = Queues[Request.Team];
@@ -103,11 +130,16 @@
   Waiting.erase(Found);
   SendBy.erase({Until, RequestId});
   auto &Queue = Queues[Team];
-  std::erase_if(Queue, [RequestId](const auto &Request) {
-    return Request.RequestId == RequestId;
+  std::erase_if(Queue, [&](const auto &Request) {
+    if (Request.RequestId != RequestId) {
+      return false;
+    }
+    QueuedCost[Request.Team] -= Request.Cost;
+    return true;
   });
   if (Queue.empty()) {
     Queues.erase(Team);
+    QueuedCost.erase(Team);
     Order.setBacklogged(Team, false);
   }
   return true;
@@ -298,6 +330,7 @@
   }
   Running[Request.RequestId] = {Upstream, Missing};
   Order.charge(Request.Team, Request.Cost);
+  noteServed(Request.Cost, Now);
 }
 
 void local_pool::adopt(std::uint64_t RequestId, upstream_id Upstream) {
--- a/src/balance/local_pool.h
+++ b/src/balance/local_pool.h
@@ -45,6 +45,11 @@
   /// other; 1 when this one sees all requests.
   void setSharers(std::uint32_t Count) noexcept;
 
+  /// False if the request would wait beyond its limit behind its own team's
+  /// requests, each backlogged team getting an even share of what the pool has
+  /// served lately. Such a request is better refused at once.
+  [[nodiscard]] bool canServeInTime(const queued_request &Request,
+                                    instant Now) const;
   /// Sends a request now or queues it.
   [[nodiscard]] std::optional<upstream_id> enqueue(queued_request Request,
                                                    instant Now);
@@ -83,6 +88,7 @@
   [[nodiscard]] std::uint64_t
   fewestMissing(const queued_request &Request) const;
   void send(const queued_request &Request, upstream_id Upstream, instant Now);
+  void noteServed(double Cost, instant Now);
   void endPrefill(running_request &Running);
   [[nodiscard]] duration coldInterval(const upstream_load &Load) const;
   [[nodiscard]] std::optional<dispatch> takeNext(instant Now);
@@ -96,6 +102,12 @@
   std::map<team_id, std::deque<queued_request>> Queues;
   std::unordered_map<std::uint64_t, std::pair<team_id, instant>> Waiting;
   std::set<std::pair<instant, std::uint64_t>> SendBy;
+  std::map<team_id, double> QueuedCost;
+  /// Cost served a second, averaged over about a second.
+  double ServedRate = 0;
+  instant RateAt{};
+  /// Since when requests wait without a break.
+  instant BackloggedSince{};
   pool::fair_queue Order;
 };
 
--- a/src/traffic/slot_host.cpp
+++ b/src/traffic/slot_host.cpp
@@ -68,6 +68,11 @@
     Queued.Excluded.push_back(upstream_id{Upstream});
   }
   Queued.SendBy = Now + duration(Request.SendWithin);
+  if (!Cell.Pool.canServeInTime(Queued, Now)) {
+    forget(Cell, Queued.RequestId);
+    Send(From, {Request.Number, slot_decision::Refused, 0});
+    return;
+  }
   const auto Upstream = Cell.Pool.enqueue(std::move(Queued), Now);
   Send(From,
        {Request.Number, Upstream ? slot_decision::Send : slot_decision::Queued,
--- a/tests/balance/test_local_pool.cpp
+++ b/tests/balance/test_local_pool.cpp
@@ -138,6 +138,43 @@
                       [](auto Id) { return Id >= 30; }) == 2);
 }
 
+// Guards against requests that wait in vain, and against a light team that is
+// refused because of a heavy one.
+TEST_CASE("a request that its own team's queue makes late is refused at once") {
+  local_pool Pool(1);
+  Pool.setUpstreams({engine(1)}, Start);
+  std::uint64_t Running = 1;
+  REQUIRE(Pool.enqueue(prompt(1, 1, {{1, 5'000}}), Start));
+  std::uint64_t Id = 100;
+  instant Now = Start;
+  // One prompt of 5,000 tokens every 100 ms, while team 1 asks for five.
+  for (int Step = 0; Step < 20; ++Step) {
+    for (int I = 0; I < 5; ++I) {
+      auto Request = prompt(++Id, 1, {{Id, 5'000}});
+      Request.SendBy = Now + 600ms;
+      if (Pool.canServeInTime(Request, Now)) {
+        CHECK_FALSE(Pool.enqueue(Request, Now));
+      }
+    }
+    Now += 100ms;
+    Pool.onFirstByte(Running);
+    Pool.complete(Running, call_health::Good, Now);
+    CHECK(Pool.expire(Now).size() <= 10); // those of the first, unknown rate
+    const auto Ready = Pool.takeReady(Now);
+    REQUIRE(Ready.size() == 1);
+    Running = Ready[0].RequestId;
+  }
+  // About six can be served within 600 ms.
+  CHECK(Pool.waiting() >= 3);
+  CHECK(Pool.waiting() <= 9);
+  auto Light = prompt(1'000, 2, {{1'000, 5'000}});
+  Light.SendBy = Now + 300ms;
+  CHECK(Pool.canServeInTime(Light, Now));
+  auto Heavy = prompt(1'001, 1, {{1'001, 5'000}});
+  Heavy.SendBy = Now + 300ms;
+  CHECK_FALSE(Pool.canServeInTime(Heavy, Now));
+}
+
 // Guards against a plain service that is filled beyond its own queue, and
 // against idle slots while requests wait.
 TEST_CASE("a plain upstream holds two requests for each slot") {
