--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -51,6 +51,9 @@
   return Peers;
 }
 
+/// Some callers of the gateway keep an address answer for this many times its
+/// lifetime.
+constexpr int KeptTtls = 3;
 /// A request takes one descriptor for its caller and one for its upstream; as
 /// many again are left for idle connections, peers and files.
 constexpr std::int64_t DescriptorsPerRequest = 4;
@@ -98,7 +101,8 @@
   void fillGauges(router::router_metrics &Metrics);
   void waitForSignal();
   void beginDrain();
-  [[nodiscard]] std::chrono::milliseconds addressTtl();
+  /// How long callers may keep an address answer that names this node.
+  [[nodiscard]] std::chrono::milliseconds keptAddresses();
   /// When the process must have ended, so that it is not killed.
   [[nodiscard]] instant stopInstant() const;
   void finishDrain();
@@ -470,7 +474,7 @@
   Context.Drain = router::drain_phase::Leaving;
   Agent.announceLeaving();
   StopAt = stopInstant();
-  const std::chrono::milliseconds Ttl = addressTtl();
+  const std::chrono::milliseconds Ttl = keptAddresses();
   logEvent(log_level::Info, "drain_started", {{"address_ttl_ms", Ttl.count()}});
   // Callers may keep an address answer for this long and still come here.
   DrainTimer.expires_after(Ttl);
@@ -481,9 +485,9 @@
   });
 }
 
-std::chrono::milliseconds server::addressTtl() {
+std::chrono::milliseconds server::keptAddresses() {
   if (Settings.Gateway.enabled()) {
-    return Settings.Gateway.AddressTtl;
+    return KeptTtls * Settings.Gateway.AddressTtl;
   }
   return std::chrono::milliseconds(Context.Routing.read([](const auto &State) {
     return State.View->policyValues().AddressTtlMs;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -24,6 +24,8 @@
   int Status = 200;
   http_headers Headers;
   std::string Body;
+  /// Closes the connection after the answer, and says so.
+  bool Close = false;
 };
 
 /// Value of the first header with this name, compared without case, or "".
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -90,6 +90,9 @@
     Disconnected = nullptr;
     auto Builder = Handle->create_response(status(Response.Status));
     addHeaders(Builder, Response.Headers);
+    if (Response.Close) {
+      Builder.connection_close();
+    }
     Builder.set_body(std::move(Response.Body));
     Builder.done();
     release();
--- a/src/traffic/traffic_end.cpp
+++ b/src/traffic/traffic_end.cpp
@@ -58,6 +58,8 @@
 net::http_response refusalAnswer(request_error Error, run_outcome Outcome,
                                  std::string_view RequestId) {
   auto Answer = router::errorAnswer(Error, Outcome, RequestId);
+  // The caller goes to another router; this one ends soon.
+  Answer.Close = Error == request_error::ShuttingDown;
   const bool Promises = Outcome == run_outcome::NotRun;
   if (Promises && Answer.Status >= FirstServerError) {
     Answer.Status = NotRunStatus;
