Close callers' connections after their answer when there are many

Change: a server counts its connections; above a quarter of the descriptors it closes each after its answer.

--- a/src/control/gateway.cpp
+++ b/src/control/gateway.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t HardBodyBytes = std::size_t{64} << 20U;
 constexpr std::size_t HardHeaderBytes = std::size_t{64} << 10U;
 
+/// A quarter of the descriptors may be held by callers' connections before
+/// idle ones are given up.
+constexpr std::size_t DescriptorsPerConnection = 4;
+
 /// True when this router can serve callers.
 bool isReady(const router::router_context &Context) {
   const bool Configured = Context.Routing.read([](const auto &State) {
@@ -52,6 +56,7 @@
   Options.Port = At.Port;
   Options.HardBodyBytes = HardBodyBytes;
   Options.HardHeaderBytes = HardHeaderBytes;
+  Options.CloseAbove = Settings.Limits.Descriptors / DescriptorsPerConnection;
   Servers.push_back(std::make_unique<net::http_server>(Shard.Io, Options,
                                                        std::move(Handler)));
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,10 +12,19 @@
 
 class exchange_impl;
 
-/// Exchanges in progress by connection, so that a closed connection reaches
-/// the exchange that it belonged to.
-using open_exchanges =
-    std::unordered_multimap<std::uint64_t, std::weak_ptr<exchange_impl>>;
+/// What a server knows of its connections.
+struct open_exchanges {
+  /// Exchanges in progress by connection, so that a closed connection reaches
+  /// the exchange that it belonged to.
+  std::unordered_multimap<std::uint64_t, std::weak_ptr<exchange_impl>> ById;
+  std::size_t Connections = 0;
+  /// With more connections than this, each is closed after its answer.
+  std::size_t CloseAbove = 0;
+
+  [[nodiscard]] bool crowded() const noexcept {
+    return CloseAbove != 0 && Connections > CloseAbove;
+  }
+};
 
 /// Tells exchanges that their connection was closed.
 class close_listener {
@@ -90,7 +99,7 @@
     Disconnected = nullptr;
     auto Builder = Handle->create_response(status(Response.Status));
     addHeaders(Builder, Response.Headers);
-    if (Response.Close) {
+    if (Response.Close || Open->crowded()) {
       Builder.connection_close();
     }
     Builder.set_body(std::move(Response.Body));
@@ -106,6 +115,9 @@
     Stream.emplace(
         Handle->create_response<restinio::chunked_output_t>(status(Status)));
     addHeaders(*Stream, Headers);
+    if (Open->crowded()) {
+      Stream->connection_close();
+    }
     Stream->flush();
   }
 
@@ -173,10 +185,10 @@
 
   /// Removes this exchange from the table of open ones.
   void release() {
-    const auto [First, Last] = Open->equal_range(connectionId());
+    const auto [First, Last] = Open->ById.equal_range(connectionId());
     for (auto It = First; It != Last; ++It) {
       if (It->second.lock().get() == this) {
-        Open->erase(It);
+        Open->ById.erase(It);
         return;
       }
     }
@@ -192,6 +204,7 @@
       auto Taken = Concrete->move_upgrade_internals();
       asio::error_code Ignored; // the socket is gone either way
       Taken.m_socket.close(Ignored);
+      --Open->Connections; // RESTinio reports no close of a taken socket
     }
   }
 
@@ -207,18 +220,22 @@
 
 void close_listener::stateChanged(
     const restinio::connection_state::notice_t &Notice) {
-  if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
-          Notice.cause())) {
+  namespace cause = restinio::connection_state;
+  if (restinio::holds_alternative<cause::accepted_t>(Notice.cause())) {
+    ++Open->Connections;
+  }
+  if (!restinio::holds_alternative<cause::closed_t>(Notice.cause())) {
     return;
   }
-  const auto [First, Last] = Open->equal_range(Notice.connection_id());
+  --Open->Connections;
+  const auto [First, Last] = Open->ById.equal_range(Notice.connection_id());
   std::vector<std::shared_ptr<exchange_impl>> Closed;
   for (auto It = First; It != Last; ++It) {
     if (auto Exchange = It->second.lock()) {
       Closed.push_back(std::move(Exchange));
     }
   }
-  Open->erase(First, Last);
+  Open->ById.erase(First, Last);
   for (const auto &Exchange : Closed) {
     Exchange->connectionClosed();
   }
@@ -228,7 +245,7 @@
                                            const http_handler &Handler,
                                            restinio::request_handle_t Request) {
   auto Exchange = std::make_shared<exchange_impl>(std::move(Request), Open);
-  Open.emplace(Exchange->connectionId(), Exchange);
+  Open.ById.emplace(Exchange->connectionId(), Exchange);
   Handler(Exchange);
   return restinio::request_accepted();
 }
@@ -245,6 +262,7 @@
                          http_handler Handler)
     : State(std::make_unique<state>()) {
   using namespace std::chrono_literals;
+  State->Open.CloseAbove = Options.CloseAbove;
   // Answers may take as long as a stream runs; the request's own deadline, not
   // the server's timers, ends them.
   static constexpr auto LongestAnswer = 1h;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -19,6 +19,9 @@
   /// connection. Smaller limits with typed answers are the handler's.
   std::size_t HardBodyBytes = 0;
   std::size_t HardHeaderBytes = 0; ///< for one header field or the target
+  /// With more open connections than this, each is closed after its answer, so
+  /// that idle callers do not keep others out; 0 for no limit.
+  std::size_t CloseAbove = 0;
 };
 
 using http_handler = std::function<void(std::shared_ptr<http_exchange>)>;
