Say at the start when the mesh is not authenticated

Cause: without a fleet key any process is trusted, and no line said so. Also corrects a comment of the HTTP client. No other behaviour changes.

--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -193,6 +193,10 @@
     return false;
   }
   waitForSignal();
+  if (Settings.Fleet.Key.empty()) {
+    logEvent(log_level::Warning, "mesh_not_authenticated",
+             {{"mesh", Settings.Listen.Mesh.text()}});
+  }
   logEvent(log_level::Info, "started",
            {{"http", Settings.Listen.Http.text()},
             {"mesh", Settings.Listen.Mesh.text()},
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -60,7 +60,7 @@
   asio::io_context &Io;
   std::uint64_t LastId = 0;
   std::unordered_map<call_id, connection_ptr> Running;
-  /// Calls that were cancelled before the event loop started them.
+  /// Calls that the event loop has not started yet.
   std::unordered_map<call_id, http_call> Waiting;
   std::unordered_map<std::string, std::vector<connection_ptr>> Idle;
   std::size_t IdleCount = 0;
