--- a/tests/balance/test_local_pool.cpp
+++ b/tests/balance/test_local_pool.cpp
@@ -150,7 +150,8 @@
   // One prompt of 5,000 tokens every 100 ms, while team 1 asks for five.
   for (int Step = 0; Step < 20; ++Step) {
     for (int I = 0; I < 5; ++I) {
-      auto Request = prompt(++Id, 1, {{Id, 5'000}});
+      ++Id;
+      auto Request = prompt(Id, 1, {{Id, 5'000}});
       Request.SendBy = Now + 600ms;
       if (Pool.canServeInTime(Request, Now)) {
         CHECK_FALSE(Pool.enqueue(Request, Now));
