Split the server and the voter into smaller files

Change: gauges, configured peers, the opening of a voter's log and its queue types stand in files of their own; no line of behaviour changes.

--- /dev/null
+++ b/src/control/mesh_peers.cpp
@@ -0,0 +1,28 @@
+#include "control/mesh_peers.h"
+
+#include <algorithm>
+
+namespace arbutus::control {
+
+bool lists(const std::vector<net::mesh_peer> &Peers, node_id Node) {
+  return std::any_of(Peers.begin(), Peers.end(),
+                     [&](const auto &Peer) { return Peer.Node == Node; });
+}
+
+std::vector<net::mesh_peer>
+configuredPeers(const settings::settings &Settings) {
+  std::vector<net::mesh_peer> Peers;
+  for (const auto &Control : Settings.Fleet.Control) {
+    if (Control.Id != Settings.Node.Id) {
+      Peers.push_back({Control.Id, Control.Mesh.text()});
+    }
+  }
+  for (const auto &Peer : Settings.Peers) {
+    if (!lists(Peers, Peer.Id)) {
+      Peers.push_back({Peer.Id, Peer.Mesh.text()});
+    }
+  }
+  return Peers;
+}
+
+} // namespace arbutus::control
--- /dev/null
+++ b/src/control/process_gauges.cpp
@@ -0,0 +1,61 @@
+#include "control/process_gauges.h"
+
+#include "control/voter.h"
+
+#include <string>
+
+namespace arbutus::control {
+
+void fillGauges(router::router_metrics &Metrics,
+                const router::router_context &Context,
+                const net::peer_mesh &Mesh, const voter *Voter) {
+  Metrics.setGauge("arbutus_active_requests", "Requests not yet answered",
+                   static_cast<double>(Context.ActiveRequests.load()));
+  Metrics.setGauge("arbutus_waiting_requests", "Requests waiting for a slot",
+                   static_cast<double>(Context.Pools.waiting()));
+  Metrics.setGauge("arbutus_in_flight_requests", "Requests at an upstream",
+                   static_cast<double>(Context.Pools.inFlight()));
+  Metrics.setGauge("arbutus_lease_seconds", "Time left of the session lease",
+                   static_cast<double>(Context.LeaseUntil.load() -
+                                       toMicros(monotonic_clock::now())) /
+                       1e6);
+  const auto Revision = Context.Routing.read(
+      [](const auto &State) { return number(State.View->currentRevision()); });
+  Metrics.setGauge("arbutus_config_revision", "Configuration in force",
+                   static_cast<double>(Revision));
+  const auto Counters = Mesh.counters();
+  double Sent = 0;
+  double Received = 0;
+  for (const auto &Kind : Counters.Kinds) {
+    Sent += static_cast<double>(Kind.BytesSent);
+    Received += static_cast<double>(Kind.BytesReceived);
+  }
+  Metrics.setGauge("arbutus_mesh_bytes_sent", "Bytes sent to peers", Sent);
+  Metrics.setGauge("arbutus_mesh_bytes_received", "Bytes received from peers",
+                   Received);
+  for (const auto &Row : name_table<net::message_kind>::Rows) {
+    Metrics.setGauge("arbutus_mesh_bytes_sent_" + std::string(Row.Name),
+                     "Bytes sent to peers in messages of this kind",
+                     static_cast<double>(Counters.of(Row.Value).BytesSent));
+  }
+  for (const auto &Row : name_table<net::mesh_drop>::Rows) {
+    Metrics.setGauge("arbutus_mesh_dropped_" + std::string(Row.Name),
+                     "Frames dropped for this reason",
+                     static_cast<double>(Counters.of(Row.Value)));
+  }
+  if (Voter != nullptr) {
+    const auto Status = Voter->status();
+    Metrics.setGauge("arbutus_leader", "1 while this voter leads",
+                     Status.Leader ? 1 : 0);
+    Metrics.setGauge("arbutus_term", "Consensus term",
+                     static_cast<double>(Status.Term));
+    Metrics.setGauge("arbutus_log_applied", "Last applied log entry",
+                     static_cast<double>(Status.Applied));
+    Metrics.setGauge("arbutus_log_bytes", "Size of the log on disk",
+                     static_cast<double>(Status.LogBytes));
+    Metrics.setGauge("arbutus_storage_failed", "1 after a storage failure",
+                     Status.StorageFailed ? 1 : 0);
+  }
+}
+
+} // namespace arbutus::control
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -4,7 +4,9 @@
 #include "base/log.h"
 #include "control/gateway.h"
 #include "control/instance_poller.h"
+#include "control/mesh_peers.h"
 #include "control/node_agent.h"
+#include "control/process_gauges.h"
 #include "control/voter.h"
 #include "net/http_server.h"
 #include "net/peer_mesh.h"
@@ -29,28 +31,6 @@
 /// Time for the last answers to reach their callers before the process ends.
 constexpr auto LastAnswers = std::chrono::milliseconds(200);
 
-bool lists(const std::vector<net::mesh_peer> &Peers, node_id Node) {
-  return std::any_of(Peers.begin(), Peers.end(),
-                     [&](const auto &Peer) { return Peer.Node == Node; });
-}
-
-/// The processes that the settings name: the voters and other peers.
-std::vector<net::mesh_peer>
-configuredPeers(const settings::settings &Settings) {
-  std::vector<net::mesh_peer> Peers;
-  for (const auto &Control : Settings.Fleet.Control) {
-    if (Control.Id != Settings.Node.Id) {
-      Peers.push_back({Control.Id, Control.Mesh.text()});
-    }
-  }
-  for (const auto &Peer : Settings.Peers) {
-    if (!lists(Peers, Peer.Id)) {
-      Peers.push_back({Peer.Id, Peer.Mesh.text()});
-    }
-  }
-  return Peers;
-}
-
 /// Some callers of the gateway keep an address answer for this many times its
 /// lifetime.
 constexpr int KeptTtls = 3;
@@ -98,7 +78,6 @@
   void onNodes(const std::vector<membership::live_node> &Nodes);
   void callLeader(router::operator_call Call, router::shard &Shard,
                   std::function<void(router::operator_answer)> Callback);
-  void fillGauges(router::router_metrics &Metrics);
   void waitForSignal();
   void beginDrain();
   /// How long callers may keep an address answer that names this node.
@@ -159,7 +138,9 @@
   Hooks.CallLeader = [this](auto Call, auto &Shard, auto Callback) {
     callLeader(std::move(Call), Shard, std::move(Callback));
   };
-  Hooks.FillGauges = [this](auto &Metrics) { fillGauges(Metrics); };
+  Hooks.FillGauges = [this](auto &Metrics) {
+    fillGauges(Metrics, Context, *Mesh, Voter.get());
+  };
   if (Settings.Testing.AllowFaultInjection) {
     Hooks.SetCut = [this](const std::set<node_id> &Peers) {
       return Mesh->setCut(Peers);
@@ -403,56 +384,6 @@
   });
 }
 
-void server::fillGauges(router::router_metrics &Metrics) {
-  Metrics.setGauge("arbutus_active_requests", "Requests not yet answered",
-                   static_cast<double>(Context.ActiveRequests.load()));
-  Metrics.setGauge("arbutus_waiting_requests", "Requests waiting for a slot",
-                   static_cast<double>(Context.Pools.waiting()));
-  Metrics.setGauge("arbutus_in_flight_requests", "Requests at an upstream",
-                   static_cast<double>(Context.Pools.inFlight()));
-  Metrics.setGauge("arbutus_lease_seconds", "Time left of the session lease",
-                   static_cast<double>(Context.LeaseUntil.load() -
-                                       toMicros(monotonic_clock::now())) /
-                       1e6);
-  const auto Revision = Context.Routing.read(
-      [](const auto &State) { return number(State.View->currentRevision()); });
-  Metrics.setGauge("arbutus_config_revision", "Configuration in force",
-                   static_cast<double>(Revision));
-  const auto Counters = Mesh->counters();
-  double Sent = 0;
-  double Received = 0;
-  for (const auto &Kind : Counters.Kinds) {
-    Sent += static_cast<double>(Kind.BytesSent);
-    Received += static_cast<double>(Kind.BytesReceived);
-  }
-  Metrics.setGauge("arbutus_mesh_bytes_sent", "Bytes sent to peers", Sent);
-  Metrics.setGauge("arbutus_mesh_bytes_received", "Bytes received from peers",
-                   Received);
-  for (const auto &Row : name_table<net::message_kind>::Rows) {
-    Metrics.setGauge("arbutus_mesh_bytes_sent_" + std::string(Row.Name),
-                     "Bytes sent to peers in messages of this kind",
-                     static_cast<double>(Counters.of(Row.Value).BytesSent));
-  }
-  for (const auto &Row : name_table<net::mesh_drop>::Rows) {
-    Metrics.setGauge("arbutus_mesh_dropped_" + std::string(Row.Name),
-                     "Frames dropped for this reason",
-                     static_cast<double>(Counters.of(Row.Value)));
-  }
-  if (Voter) {
-    const auto Status = Voter->status();
-    Metrics.setGauge("arbutus_leader", "1 while this voter leads",
-                     Status.Leader ? 1 : 0);
-    Metrics.setGauge("arbutus_term", "Consensus term",
-                     static_cast<double>(Status.Term));
-    Metrics.setGauge("arbutus_log_applied", "Last applied log entry",
-                     static_cast<double>(Status.Applied));
-    Metrics.setGauge("arbutus_log_bytes", "Size of the log on disk",
-                     static_cast<double>(Status.LogBytes));
-    Metrics.setGauge("arbutus_storage_failed", "1 after a storage failure",
-                     Status.StorageFailed ? 1 : 0);
-  }
-}
-
 void server::waitForSignal() {
   Signals.async_wait([this](const asio::error_code &Error, int Signal) {
     if (Error) {
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -5,6 +5,8 @@
 #include "consensus/consensus.h"
 #include "control/leader_duties.h"
 #include "control/resource_api.h"
+#include "control/voter_log.h"
+#include "control/voter_queue.h"
 #include "storage/storage.h"
 #include "store/instance_diff.h"
 #include "store/state_machine.h"
@@ -31,24 +33,6 @@
 /// Commands that go into one log entry.
 constexpr std::size_t MostCommandsPerEntry = 1000;
 
-/// Who waits for the outcome of a proposed command.
-struct command_source {
-  enum class kind { None, Command, Api };
-  kind Kind = kind::None;
-  node_id Node{};
-  std::uint64_t Number = 0;
-};
-
-struct queued_command {
-  store::command Command;
-  command_source Source;
-};
-
-struct proposed_entry {
-  std::uint64_t Term = 0;
-  std::vector<command_source> Sources;
-};
-
 } // namespace
 
 struct voter::state {
@@ -469,65 +453,9 @@
   Outputs.clear();
 }
 
-namespace {
-
-storage::open_options openOptions(const settings::settings &Settings) {
-  storage::open_options Options;
-  Options.Directory = Settings.Node.DataDirectory.string();
-  Options.Node = Settings.Node.Id;
-  std::random_device Random;
-  // Odd, so that it never equals the identity of a bootstrap directory.
-  Options.FreshDisk = consensus::disk_id{
-      (static_cast<std::uint64_t>(Random()) << 32U) | Random() | 1U};
-  return Options;
-}
-
-} // namespace
-
-storage::storage_result<void>
-initializeVoter(const settings::settings &Settings) {
-  std::vector<node_id> Nodes;
-  for (const auto &Voter : Settings.Fleet.Control) {
-    Nodes.push_back(Voter.Id);
-  }
-  auto Options = openOptions(Settings);
-  Options.Bootstrap = true;
-  Options.InitialVoters = consensus::bootstrapVoters(Nodes);
-  const auto Opened = storage::durable_log::open(Options);
-  if (Opened.has_error()) {
-    return Opened.error();
-  }
-  return outcome::success();
-}
-
-namespace {
-
-/// At the first start of the whole fleet, makes this node one of the first
-/// voters if it is listed as one.
-storage::storage_result<void>
-bootstrapIfFirst(const settings::settings &Settings) {
-  const auto &Voters = Settings.Fleet.Control;
-  const bool Listed =
-      std::any_of(Voters.begin(), Voters.end(), [&](const auto &Voter) {
-        return Voter.Id == Settings.Node.Id;
-      });
-  if (!Settings.Fleet.Bootstrap || !Listed) {
-    return outcome::success();
-  }
-  auto Created = initializeVoter(Settings);
-  if (Created.has_error() &&
-      Created.error().Code == storage::storage_errc::AlreadyStarted) {
-    return outcome::success();
-  }
-  return Created;
-}
-
-} // namespace
-
 storage::storage_result<std::unique_ptr<voter>>
 voter::start(const settings::settings &Settings, const send_function &Send) {
-  BOOST_OUTCOME_TRY(bootstrapIfFirst(Settings));
-  auto Opened = storage::durable_log::open(openOptions(Settings));
+  auto Opened = openVoterLog(Settings);
   if (Opened.has_error()) {
     return Opened.error();
   }
--- /dev/null
+++ b/src/control/voter_log.cpp
@@ -0,0 +1,73 @@
+#include "control/voter_log.h"
+
+#include "consensus/consensus.h"
+#include "control/voter.h"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace arbutus::control {
+
+namespace {
+
+storage::open_options openOptions(const settings::settings &Settings) {
+  storage::open_options Options;
+  Options.Directory = Settings.Node.DataDirectory.string();
+  Options.Node = Settings.Node.Id;
+  std::random_device Random;
+  // Odd, so that it never equals the identity of a bootstrap directory.
+  Options.FreshDisk = consensus::disk_id{
+      (static_cast<std::uint64_t>(Random()) << 32U) | Random() | 1U};
+  return Options;
+}
+
+} // namespace
+
+storage::storage_result<void>
+initializeVoter(const settings::settings &Settings) {
+  std::vector<node_id> Nodes;
+  for (const auto &Voter : Settings.Fleet.Control) {
+    Nodes.push_back(Voter.Id);
+  }
+  auto Options = openOptions(Settings);
+  Options.Bootstrap = true;
+  Options.InitialVoters = consensus::bootstrapVoters(Nodes);
+  const auto Opened = storage::durable_log::open(Options);
+  if (Opened.has_error()) {
+    return Opened.error();
+  }
+  return outcome::success();
+}
+
+namespace {
+
+/// At the first start of the whole fleet, makes this node one of the first
+/// voters if it is listed as one.
+storage::storage_result<void>
+bootstrapIfFirst(const settings::settings &Settings) {
+  const auto &Voters = Settings.Fleet.Control;
+  const bool Listed =
+      std::any_of(Voters.begin(), Voters.end(), [&](const auto &Voter) {
+        return Voter.Id == Settings.Node.Id;
+      });
+  if (!Settings.Fleet.Bootstrap || !Listed) {
+    return outcome::success();
+  }
+  auto Created = initializeVoter(Settings);
+  if (Created.has_error() &&
+      Created.error().Code == storage::storage_errc::AlreadyStarted) {
+    return outcome::success();
+  }
+  return Created;
+}
+
+} // namespace
+
+storage::storage_result<storage::opened_log>
+openVoterLog(const settings::settings &Settings) {
+  BOOST_OUTCOME_TRY(bootstrapIfFirst(Settings));
+  return storage::durable_log::open(openOptions(Settings));
+}
+
+} // namespace arbutus::control
--- /dev/null
+++ b/src/control/voter_log.h
@@ -0,0 +1,16 @@
+#ifndef ARBUTUS_CONTROL_VOTER_LOG_H
+#define ARBUTUS_CONTROL_VOTER_LOG_H
+
+#include "settings/settings.h"
+#include "storage/storage.h"
+
+namespace arbutus::control {
+
+/// Opens the data directory of a voter. At the first start of the whole fleet
+/// it is created first if the settings list this node as a voter.
+[[nodiscard]] storage::storage_result<storage::opened_log>
+openVoterLog(const settings::settings &Settings);
+
+} // namespace arbutus::control
+
+#endif
