Use a voter's disk again once it takes writes

Cause: after a failed write a voter stood aside until its process was restarted. Two disks that filled up one after the other left no majority although both had room again: no router had a lease, and the configuration could not be read. Change: a failed voter tries its disk every 500 ms, cuts off what was not synced (a failed sync may have dropped it while it still reads back) and opens the directory as after a restart.

--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -30,6 +30,8 @@
 /// Size of the log after which a snapshot is saved earlier: entries that hold
 /// whole configurations fill a small disk long before the count is reached.
 constexpr std::uint64_t MostLogBytes = std::uint64_t{8} << 20U;
+/// Time between two attempts to use a disk again that refused a write.
+constexpr duration ReopenInterval = 500ms;
 /// Commands that go into one log entry.
 constexpr std::size_t MostCommandsPerEntry = 1000;
 
@@ -37,7 +39,7 @@
 
 struct voter::state {
   state(const settings::settings &Settings, const send_function &Send,
-        storage::opened_log Opened);
+        const storage::file_hooks &Files, storage::opened_log Opened);
 
   void run();
   void handle(const voter_frame &Frame, instant Now);
@@ -59,17 +61,25 @@
   bool leading(instant Now) const;
   void publishStatus(instant Now);
   void storageFailed(const storage::storage_error &Error, instant Now);
+  void recoverStore(const consensus::recovered_state &Recovered);
+  void reopen(instant Now);
+  [[nodiscard]] storage::storage_result<storage::opened_log> openAgain();
 
-  node_id Self;
+  settings::settings Settings;
+  storage::file_hooks Files;
   consensus::disk_id Disk;
   send_function Send;
-  storage::durable_log Log;
+  /// Nothing while a disk that refused a write is not in use again.
+  std::optional<storage::durable_log> Log;
   consensus::raft_node Raft;
   store::state_machine Store;
   leader_duties Duties;
   std::uint64_t Applied = 0;
   std::uint64_t SnapshotAt = 0;
   bool Failed = false;
+  /// Next attempt to open the data directory again; nothing if that is of no
+  /// use, because what the disk holds cannot be read.
+  std::optional<instant> ReopenAt;
   std::vector<consensus::output> Outputs;
   std::vector<queued_command> Queue;
   std::map<std::uint64_t, proposed_entry> Proposed;
@@ -96,23 +106,15 @@
 } // namespace
 
 voter::state::state(const settings::settings &Settings,
-                    const send_function &Send, storage::opened_log Opened)
-    : Self(Settings.Node.Id), Disk(Opened.Disk), Send(Send),
+                    const send_function &Send, const storage::file_hooks &Files,
+                    storage::opened_log Opened)
+    : Settings(Settings), Files(Files), Disk(Opened.Disk), Send(Send),
       Log(std::move(Opened.Log)),
       Raft(raftOptions(Settings, Opened.Disk), Opened.Recovered,
            std::mt19937_64(std::random_device{}()), monotonic_clock::now()),
       Duties(Settings.Node.Id, Send) {
   Status.Disk = Disk;
-  if (Opened.Recovered.Snapshot) {
-    const auto &Snapshot = *Opened.Recovered.Snapshot;
-    if (Store.restore(*Snapshot.Data).has_error()) {
-      logEvent(log_level::Error, "snapshot_unreadable",
-               {{"index", Snapshot.Meta.Index}});
-      Failed = true;
-    }
-    Applied = Snapshot.Meta.Index;
-    SnapshotAt = Applied;
-  }
+  recoverStore(Opened.Recovered);
   logEvent(log_level::Info, "voter_started",
            {{"snapshot_index", SnapshotAt},
             {"entries", Opened.Recovered.Entries.size()},
@@ -120,6 +122,63 @@
             {"torn_bytes", Opened.TornBytes}});
 }
 
+void voter::state::recoverStore(const consensus::recovered_state &Recovered) {
+  Store = store::state_machine();
+  Applied = 0;
+  SnapshotAt = 0;
+  if (!Recovered.Snapshot) {
+    return;
+  }
+  const auto &Snapshot = *Recovered.Snapshot;
+  if (Store.restore(*Snapshot.Data).has_error()) {
+    logEvent(log_level::Error, "snapshot_unreadable",
+             {{"index", Snapshot.Meta.Index}});
+    Failed = true;
+  }
+  Applied = Snapshot.Meta.Index;
+  SnapshotAt = Applied;
+}
+
+storage::storage_result<storage::opened_log> voter::state::openAgain() {
+  if (Log) {
+    BOOST_OUTCOME_TRY(Log->prepareReopen());
+    Log.reset(); // its lock would keep the directory from being opened
+  }
+  return openVoterLog(Settings, Files);
+}
+
+void voter::state::reopen(instant Now) {
+  if (!ReopenAt || Now < *ReopenAt) {
+    return;
+  }
+  auto Opened = openAgain();
+  if (Opened.has_error()) {
+    logEvent(log_level::Debug, "storage_still_failing",
+             {{"code", nameOf(Opened.error().Code)},
+              {"file", Opened.error().File},
+              {"detail", Opened.error().Detail}});
+    ReopenAt = Now + ReopenInterval;
+    return;
+  }
+  ReopenAt.reset();
+  Failed = false;
+  Disk = Opened.value().Disk;
+  Log = std::move(Opened.value().Log);
+  // What was accepted and not committed gets no answer; its senders repeat it.
+  Outputs.clear();
+  Queue.clear();
+  Proposed.clear();
+  Duties.stop();
+  Raft = consensus::raft_node(raftOptions(Settings, Disk),
+                              Opened.value().Recovered,
+                              std::mt19937_64(std::random_device{}()), Now);
+  recoverStore(Opened.value().Recovered);
+  logEvent(log_level::Info, "storage_recovered",
+           {{"snapshot_index", SnapshotAt},
+            {"entries", Opened.value().Recovered.Entries.size()},
+            {"torn_bytes", Opened.value().TornBytes}});
+}
+
 void voter::state::run() {
   while (true) {
     std::vector<voter_frame> Frames;
@@ -136,6 +195,7 @@
     }
     instant Now = monotonic_clock::now();
     if (Failed) {
+      reopen(Now);
       publishStatus(Now);
       continue;
     }
@@ -196,7 +256,7 @@
 void voter::state::handleRaft(const voter_frame &Frame, instant Now) {
   auto Message = decode<consensus::message>(Frame.Payload);
   if (Message.has_error() || Message.value().from() != Frame.From ||
-      Message.value().to() != Self) {
+      Message.value().to() != Settings.Node.Id) {
     logEvent(log_level::Warning, "raft_message_dropped",
              {{"peer", number(Frame.From)}});
     return;
@@ -341,14 +401,14 @@
     if (Output.Writes.empty()) {
       continue;
     }
-    if (const auto Written = Log.write(Output.Writes); Written.has_error()) {
+    if (const auto Written = Log->write(Output.Writes); Written.has_error()) {
       storageFailed(Written.error(), monotonic_clock::now());
       return false;
     }
     Sequence = Output.Writes.Sequence;
   }
   if (Sequence != 0) {
-    if (const auto Synced = Log.sync(); Synced.has_error()) {
+    if (const auto Synced = Log->sync(); Synced.has_error()) {
       storageFailed(Synced.error(), monotonic_clock::now());
       return false;
     }
@@ -404,7 +464,7 @@
 
 void voter::state::saveSnapshot(instant Now) {
   const bool Due = Applied >= SnapshotAt + EntriesPerSnapshot ||
-                   (Applied > SnapshotAt && Log.logBytes() > MostLogBytes);
+                   (Applied > SnapshotAt && Log->logBytes() > MostLogBytes);
   if (Failed || !Due) {
     return;
   }
@@ -413,7 +473,7 @@
     return;
   }
   const auto Data = std::make_shared<const std::string>(Store.snapshot());
-  if (const auto Saved = Log.saveSnapshot({*Meta, Data}); Saved.has_error()) {
+  if (const auto Saved = Log->saveSnapshot({*Meta, Data}); Saved.has_error()) {
     storageFailed(Saved.error(), Now);
     return;
   }
@@ -436,7 +496,7 @@
   Status.Term = Now2.Term;
   Status.Commit = Now2.Commit;
   Status.Applied = Applied;
-  Status.LogBytes = Log.logBytes();
+  Status.LogBytes = Log ? Log->logBytes() : 0;
   Status.StorageFailed = Failed;
   Status.Disk = Disk;
 }
@@ -449,18 +509,24 @@
             {"detail", Error.Detail},
             {"errno", Error.Errno}});
   Failed = true;
+  // A disk that is full or refuses a write may take writes later; what it
+  // holds damaged stays so.
+  if (Error.Code != storage::storage_errc::Corrupt) {
+    ReopenAt = Now + ReopenInterval;
+  }
   step(consensus::storage_failed{}, Now);
   Outputs.clear();
 }
 
 storage::storage_result<std::unique_ptr<voter>>
-voter::start(const settings::settings &Settings, const send_function &Send) {
-  auto Opened = openVoterLog(Settings);
+voter::start(const settings::settings &Settings, const send_function &Send,
+             const storage::file_hooks &Files) {
+  auto Opened = openVoterLog(Settings, Files);
   if (Opened.has_error()) {
     return Opened.error();
   }
   auto State =
-      std::make_unique<state>(Settings, Send, std::move(Opened.value()));
+      std::make_unique<state>(Settings, Send, Files, std::move(Opened.value()));
   return std::unique_ptr<voter>(new voter(std::move(State)));
 }
 
--- a/src/control/voter.h
+++ b/src/control/voter.h
@@ -5,6 +5,7 @@
 #include "consensus/voter_set.h"
 #include "net/message_kind.h"
 #include "settings/settings.h"
+#include "storage/file_hooks.h"
 #include "storage/storage_error.h"
 #include "store/commands.h"
 
@@ -50,9 +51,12 @@
   using send_function = std::function<void(node_id To, net::message_kind Kind,
                                            const std::string &Payload)>;
 
-  /// Opens the data directory and starts the thread.
+  /// Opens the data directory and starts the thread. After a failed write or
+  /// sync the voter stands aside until the disk takes writes again; then it
+  /// opens the directory anew, as after a restart.
   [[nodiscard]] static storage::storage_result<std::unique_ptr<voter>>
-  start(const settings::settings &Settings, const send_function &Send);
+  start(const settings::settings &Settings, const send_function &Send,
+        const storage::file_hooks &Files = storage::posixFiles());
 
   voter(const voter &) = delete;
   voter &operator=(const voter &) = delete;
--- a/src/control/voter_log.cpp
+++ b/src/control/voter_log.cpp
@@ -65,9 +65,10 @@
 } // namespace
 
 storage::storage_result<storage::opened_log>
-openVoterLog(const settings::settings &Settings) {
+openVoterLog(const settings::settings &Settings,
+             const storage::file_hooks &Files) {
   BOOST_OUTCOME_TRY(bootstrapIfFirst(Settings));
-  return storage::durable_log::open(openOptions(Settings));
+  return storage::durable_log::open(openOptions(Settings), Files);
 }
 
 } // namespace arbutus::control
--- a/src/control/voter_log.h
+++ b/src/control/voter_log.h
@@ -9,7 +9,8 @@
 /// Opens the data directory of a voter. At the first start of the whole fleet
 /// it is created first if the settings list this node as a voter.
 [[nodiscard]] storage::storage_result<storage::opened_log>
-openVoterLog(const settings::settings &Settings);
+openVoterLog(const settings::settings &Settings,
+             const storage::file_hooks &Files = storage::posixFiles());
 
 } // namespace arbutus::control
 
--- a/src/storage/durable_log.cpp
+++ b/src/storage/durable_log.cpp
@@ -12,6 +12,16 @@
 
 using namespace impl;
 
+namespace {
+
+/// File that shows whether the disk takes writes again.
+const std::string ProbeName = "probe";
+/// Room that a disk must have before a voter uses it again, in bytes: some
+/// entries, or a vote.
+constexpr std::size_t ProbeBytes = std::size_t{16} * 1024;
+
+} // namespace
+
 /// What an open data directory consists of.
 struct durable_log::state {
   state(const open_options &Options, file_hooks Hooks)
@@ -252,6 +262,15 @@
   return outcome::success();
 }
 
+storage_result<void> durable_log::prepareReopen() {
+  State->Stopped = true;
+  BOOST_OUTCOME_TRY(replaceFile(State->Files, State->Directory, ProbeName,
+                                std::string(ProbeBytes, '\0')));
+  BOOST_OUTCOME_TRY(
+      removeFile(State->Files, State->Directory + "/" + ProbeName));
+  return State->Log.discardUnsynced();
+}
+
 std::uint64_t durable_log::logBytes() const noexcept {
   return State->Log.bytes();
 }
--- a/src/storage/durable_log.h
+++ b/src/storage/durable_log.h
@@ -66,6 +66,12 @@
   [[nodiscard]] storage_result<void>
   saveSnapshot(const consensus::snapshot &Snapshot);
 
+  /// Prepares a stopped log for being opened again: checks that the disk takes
+  /// writes, and cuts off what was not synced. A failed sync may have dropped
+  /// it from the disk while it still reads back from memory. The log stays
+  /// stopped; destroy it before the directory is opened again.
+  [[nodiscard]] storage_result<void> prepareReopen();
+
   /// Bytes of all log segments.
   [[nodiscard]] std::uint64_t logBytes() const noexcept;
 
--- a/src/storage/segment_log.cpp
+++ b/src/storage/segment_log.cpp
@@ -3,6 +3,7 @@
 #include "storage/record.h"
 #include <fcntl.h>
 
+#include <algorithm>
 #include <charconv>
 #include <numeric>
 
@@ -93,6 +94,15 @@
   return outcome::success();
 }
 
+storage_result<void> segment_log::discardUnsynced() {
+  if (!Last.isOpen() || Segments.empty()) {
+    return outcome::success();
+  }
+  // A truncation that failed half-way leaves less than was synced.
+  BOOST_OUTCOME_TRY(Last.truncate(std::min(SyncedSize, Segments.back().Size)));
+  return Last.sync();
+}
+
 storage_result<void> segment_log::truncateFrom(std::uint64_t Index) {
   while (!Segments.empty() && Segments.back().FirstIndex >= Index) {
     BOOST_OUTCOME_TRY(removeLast());
--- a/src/storage/segment_log.h
+++ b/src/storage/segment_log.h
@@ -61,6 +61,10 @@
   /// Syncs what was appended.
   [[nodiscard]] storage_result<void> sync();
 
+  /// Cuts off what was appended and not synced, after a failure. The log must
+  /// be opened again afterwards.
+  [[nodiscard]] storage_result<void> discardUnsynced();
+
   /// Removes the entries from `Index` on and syncs that, because a removed
   /// entry that comes back beside new ones would break the log.
   [[nodiscard]] storage_result<void> truncateFrom(std::uint64_t Index);
--- a/tests/control/test_voter.cpp
+++ b/tests/control/test_voter.cpp
@@ -6,7 +6,9 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <filesystem>
 #include <map>
 #include <mutex>
@@ -21,6 +23,20 @@
 /// A node that only sends heartbeats and operators' calls.
 constexpr node_id Client{9};
 
+/// File calls of a voter whose disk takes no more bytes while `Full` is set.
+storage::file_hooks limitedFiles(const std::atomic<bool> &Full) {
+  auto Files = storage::posixFiles();
+  Files.Write = [&Full, Write = Files.Write](int File, const char *Bytes,
+                                             std::size_t Size) -> ssize_t {
+    if (Full) {
+      errno = ENOSPC;
+      return -1;
+    }
+    return Write(File, Bytes, Size);
+  };
+  return Files;
+}
+
 /// Three voters in one process, joined by function calls.
 class voter_group {
 public:
@@ -37,11 +53,13 @@
         Settings.Fleet.Control.push_back({node_id{Other}, {}});
       }
       REQUIRE(initializeVoter(Settings).has_value());
-      auto Started =
-          voter::start(Settings, [this, Id](node_id To, net::message_kind Kind,
-                                            const std::string &Payload) {
+      auto Started = voter::start(
+          Settings,
+          [this, Id](node_id To, net::message_kind Kind,
+                     const std::string &Payload) {
             deliver(node_id{Id}, To, Kind, Payload);
-          });
+          },
+          limitedFiles(Full[Id - 1]));
       REQUIRE(Started.has_value());
       const std::lock_guard Lock(Mutex);
       Group[node_id{Id}] = std::move(Started.value());
@@ -69,6 +87,13 @@
     }
   }
 
+  [[nodiscard]] voter_status statusOf(std::uint32_t Id) {
+    const std::lock_guard Lock(Mutex);
+    return Group.at(node_id{Id})->status();
+  }
+
+  /// Voters whose disk is full, in the order of their numbers.
+  std::array<std::atomic<bool>, Voters> Full{};
   std::atomic<int> Replies{0};
   std::atomic<int> Leases{0};
   /// Lists of nodes that no heartbeat has asked for.
@@ -169,3 +194,41 @@
   // A machine that stalls may cost the leader its lease a few times.
   CHECK(Group.UnaskedLists - Before < Changes / 4);
 }
+
+// A voter whose disk had been full once used to stand aside until its process
+// was restarted, so that two disks that filled up one after the other left no
+// majority although both had room again.
+TEST_CASE("a voter uses its disk again once it takes writes") {
+  voter_group Group;
+  int Change = 0;
+  const auto MakeChange = [&] {
+    const int Replies = Group.Replies;
+    const int Number = ++Change;
+    return repeatUntil(
+        [&] {
+          Group.send(net::message_kind::Heartbeat, heartbeatFrame(Group));
+          Group.send(net::message_kind::ApiRequest, createCall(Number));
+        },
+        [&] { return Group.Replies > Replies; });
+  };
+  REQUIRE(MakeChange());
+  for (std::uint32_t Id = 1; Id <= Voters; ++Id) {
+    CAPTURE(Id);
+    Group.Full[Id - 1] = true;
+    REQUIRE(repeatUntil([&] { CHECK(MakeChange()); },
+                        [&] { return Group.statusOf(Id).StorageFailed; }));
+    REQUIRE(MakeChange());
+    Group.Full[Id - 1] = false;
+    REQUIRE(
+        repeatUntil([] {}, [&] { return !Group.statusOf(Id).StorageFailed; }));
+  }
+  REQUIRE(MakeChange());
+  for (std::uint32_t Id = 1; Id <= Voters; ++Id) {
+    CAPTURE(Id);
+    REQUIRE(repeatUntil([] {},
+                        [&] {
+                          return Group.statusOf(Id).Applied ==
+                                 Group.statusOf(1).Applied;
+                        }));
+  }
+}
--- a/tests/storage/test_durable_log.cpp
+++ b/tests/storage/test_durable_log.cpp
@@ -208,6 +208,44 @@
   }
 }
 
+// Guards against entries that a failed sync lost on the disk and that still
+// read back: the voter would acknowledge them without having them.
+TEST_CASE("a log that is opened again holds only what was synced") {
+  struct row {
+    std::string Name;
+    std::function<void(memory_files &)> Break;
+  };
+  const std::vector<row> Rows = {
+      {"full", [](memory_files &F) { F.Space = 70; }},
+      {"sync failed", [](memory_files &F) { F.SyncsUntilFailure = 0; }},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    memory_files Files;
+    {
+      auto Opened = reopen(Files, true);
+      REQUIRE(Opened.Log.write(appends(entries(2, 4, 1))));
+      REQUIRE(Opened.Log.sync());
+      Row.Break(Files);
+      auto Result = Opened.Log.write(appends(entries(5, 9, 1)));
+      if (Result) {
+        Result = Opened.Log.sync();
+      }
+      REQUIRE_FALSE(Result);
+      Files.Space = 0;
+      CHECK_FALSE(Opened.Log.prepareReopen());
+      Files.Space = 1U << 20;
+      Files.SyncsUntilFailure = -1;
+      REQUIRE(Opened.Log.prepareReopen());
+      CHECK(Opened.Log.stopped());
+    }
+    auto Opened = reopen(Files);
+    CHECK(lastIndex(Opened) == 4);
+    REQUIRE(Opened.Log.write(appends(entries(5, 6, 1))));
+    REQUIRE(Opened.Log.sync());
+  }
+}
+
 // Guards against a full disk that costs the voter its log although only a
 // snapshot did not fit, and against bytes lost by short writes.
 TEST_CASE("a snapshot that does not fit leaves the log usable") {
