Count suspended time in leases

Cause: the monotonic clock stands still while a machine is suspended, so that a router or a leader that wakes up would still hold a lease that has ended for everybody else: it could serve a key that was taken away or show an older configuration. Ruled out: the wall clock, which jumps. Change: instants are read from CLOCK_BOOTTIME. Found by reading; no test fails first.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace arbutus {
 
@@ -15,10 +16,15 @@
   using time_point = std::chrono::time_point<monotonic_clock>;
   static constexpr bool is_steady = true; // NOLINT: name set by the standard
 
-  /// Time since an arbitrary start that is fixed while the machine runs.
+  /// Time since an arbitrary start that is fixed while the machine runs. Time
+  /// in which the machine was suspended counts, so that a lease ends meanwhile;
+  /// `std::chrono::steady_clock` leaves it out.
   [[nodiscard]] static time_point now() noexcept {
+    timespec Time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &Time);
     return time_point(std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
+        std::chrono::seconds(Time.tv_sec) +
+        std::chrono::nanoseconds(Time.tv_nsec)));
   }
 };
 
