Write logs from a thread of their own, within a bound a second

Cause: each line was written by the thread that logged it, with one system call a line, to standard error. A reader that stands still held up all requests, and the volume grew with the load. SIGPIPE is ignored.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,12 +1,17 @@
 #include "base/log.h"
 
+#include "base/line_budget.h"
+#include "base/log_sink.h"
+#include <fcntl.h>
 #include <fmt/format.h>
-#include <spdlog/async.h>
-#include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <memory>
+#include <mutex>
+#include <system_error>
+#include <utility>
 
 namespace arbutus {
 
@@ -15,6 +20,30 @@
 std::shared_ptr<spdlog::logger> Logger; // NOLINT: process-wide by design
 std::string NodeName;                   // NOLINT: set once before threads start
 
+/// Lines a second about requests that went well, and about everything else.
+/// The first can be left out under load without losing the cause of a failure.
+constexpr double RoutineLinesPerSecond = 100;
+constexpr double RoutineBurst = 300;
+constexpr double OtherLinesPerSecond = 300;
+constexpr double OtherBurst = 1000;
+/// Time between two lines that say how many were left out.
+constexpr duration LeftOutInterval = 1s;
+
+/// Budgets of the process, and what they have left out.
+struct line_budgets {
+  std::mutex Mutex;
+  line_budget Routine{RoutineLinesPerSecond, RoutineBurst};
+  line_budget Other{OtherLinesPerSecond, OtherBurst};
+  std::uint64_t RoutineLeftOut = 0;
+  std::uint64_t OtherLeftOut = 0;
+  instant SaidAt{};
+};
+
+line_budgets &budgets() {
+  static line_budgets Budgets;
+  return Budgets;
+}
+
 spdlog::level::level_enum toSpdlog(log_level Level) noexcept {
   switch (Level) {
   case log_level::Debug:
@@ -61,6 +90,61 @@
   Line += '"';
 }
 
+void writeLine(log_level Level, std::string_view Event,
+               std::initializer_list<log_field> Fields) {
+  std::string Line = "node=";
+  appendValue(Line, NodeName);
+  Line += " event=";
+  Line += Event;
+  for (const auto &Field : Fields) {
+    Line += ' ';
+    Line += Field.Key;
+    Line += '=';
+    appendValue(Line, Field.Value);
+  }
+  Logger->log(toSpdlog(Level), "{}", Line);
+}
+
+/// Takes a line from a budget, and says now and then how many were left out.
+bool takeLine(line_budget line_budgets::*Budget) {
+  auto &Budgets = budgets();
+  const instant Now = monotonic_clock::now();
+  std::uint64_t Routine = 0;
+  std::uint64_t Other = 0;
+  bool Allowed = false;
+  {
+    const std::lock_guard Lock(Budgets.Mutex);
+    Allowed = (Budgets.*Budget).take(Now);
+    Budgets.RoutineLeftOut += Budgets.Routine.takeLeftOut();
+    Budgets.OtherLeftOut += Budgets.Other.takeLeftOut();
+    const bool Any = Budgets.RoutineLeftOut + Budgets.OtherLeftOut != 0;
+    if (Any && Now - Budgets.SaidAt >= LeftOutInterval) {
+      Budgets.SaidAt = Now;
+      Routine = std::exchange(Budgets.RoutineLeftOut, 0);
+      Other = std::exchange(Budgets.OtherLeftOut, 0);
+    }
+  }
+  if (Routine + Other != 0) {
+    writeLine(log_level::Warning, "log_lines_left_out",
+              {{"routine", Routine}, {"other", Other}});
+  }
+  return Allowed;
+}
+
+/// Descriptor of the log file, or of standard output.
+int openOutput(const std::string &Path) {
+  if (Path.empty()) {
+    return STDOUT_FILENO;
+  }
+  constexpr int FileMode = 0644;
+  const int File =
+      ::open(Path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
+  if (File < 0) {
+    throw std::system_error(errno, std::generic_category(), Path);
+  }
+  return File;
+}
+
 } // namespace
 
 log_field::log_field(std::string_view Key, double Value)
@@ -68,15 +152,11 @@
 
 void openLog(const std::string &Path, log_level Minimum,
              std::string_view Node) {
-  if (Path.empty()) {
-    Logger = spdlog::stderr_logger_mt("arbutus");
-  } else {
-    Logger = spdlog::basic_logger_mt("arbutus", Path);
-    spdlog::flush_every(std::chrono::seconds(1));
-  }
+  Logger = std::make_shared<spdlog::logger>(
+      "arbutus",
+      std::make_shared<impl::log_sink>(openOutput(Path), !Path.empty()));
   Logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%f%z level=%l %v");
   Logger->set_level(toSpdlog(Minimum));
-  Logger->flush_on(spdlog::level::warn);
   NodeName = Node;
 }
 
@@ -86,20 +166,16 @@
 
 void logEvent(log_level Level, std::string_view Event,
               std::initializer_list<log_field> Fields) {
-  if (!logEnabled(Level)) {
-    return;
+  if (logEnabled(Level) && takeLine(&line_budgets::Other)) {
+    writeLine(Level, Event, Fields);
   }
-  std::string Line = "node=";
-  appendValue(Line, NodeName);
-  Line += " event=";
-  Line += Event;
-  for (const auto &Field : Fields) {
-    Line += ' ';
-    Line += Field.Key;
-    Line += '=';
-    appendValue(Line, Field.Value);
+}
+
+void logRoutine(std::string_view Event,
+                std::initializer_list<log_field> Fields) {
+  if (logEnabled(log_level::Info) && takeLine(&line_budgets::Routine)) {
+    writeLine(log_level::Info, Event, Fields);
   }
-  Logger->log(toSpdlog(Level), "{}", Line);
 }
 
 void flushLog() {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -31,18 +31,26 @@
       : Key(Key), Value(std::to_string(Value)) {}
 };
 
-/// Sends log lines to `Path`, or to standard error when `Path` is empty.
-/// Lines below `Minimum` are dropped. Call once, before threads start.
+/// Sends log lines to `Path`, or to standard output when `Path` is empty.
+/// Lines below `Minimum` are dropped. Call once, before threads start. Throws
+/// std::system_error when the file cannot be opened.
 void openLog(const std::string &Path, log_level Minimum, std::string_view Node);
 
 /// True if a line of this level would be written; guards costly fields.
 [[nodiscard]] bool logEnabled(log_level Level) noexcept;
 
-/// Writes one line `time=... level=... node=... event=... key=value ...`.
+/// Writes one line `time=... level=... node=... event=... key=value ...`. It
+/// never blocks. Lines beyond a bound a second are left out; a line
+/// `log_lines_left_out` says how many.
 void logEvent(log_level Level, std::string_view Event,
               std::initializer_list<log_field> Fields);
 
-/// Writes buffered lines out.
+/// Writes a line about a request that goes well. Such lines have a smaller
+/// bound of their own, so that lines about failures stay under load.
+void logRoutine(std::string_view Event,
+                std::initializer_list<log_field> Fields);
+
+/// Writes buffered lines out, but does not wait for a blocked output for long.
 void flushLog();
 
 } // namespace arbutus
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -485,6 +485,7 @@
 
 int runServer(const settings::settings &Settings,
               const traffic::site_adapter *Adapter) {
+  std::signal(SIGPIPE, SIG_IGN); // a closed peer or output is an error code
   openLog(Settings.Log.Path.string(), Settings.Log.Level, Settings.Node.Name);
   server Server(Settings, Adapter);
   if (!Server.start()) {
--- a/src/router/request_end.cpp
+++ b/src/router/request_end.cpp
@@ -7,16 +7,21 @@
 
 void logFinished(const routed_request &Request, std::string_view Result,
                  int Status) {
-  logEvent(
-      log_level::Info, "request_finished",
-      {{"request", Request.PublicId},
-       {"team", Request.Team->Name},
-       {"service", Request.Service->Name},
-       {"result", Result},
-       {"status", Status},
-       {"upstream", Request.Call.UpstreamName},
-       {"attempts", Request.Attempts},
-       {"duration_us", toMicros(monotonic_clock::now() - Request.Arrived)}});
+  const std::initializer_list<log_field> Fields = {
+      {"request", Request.PublicId},
+      {"team", Request.Team->Name},
+      {"service", Request.Service->Name},
+      {"result", Result},
+      {"status", Status},
+      {"upstream", Request.Call.UpstreamName},
+      {"attempts", Request.Attempts},
+      {"duration_us", toMicros(monotonic_clock::now() - Request.Arrived)}};
+  constexpr int FirstFailure = 300;
+  if (Status != 0 && Status < FirstFailure) {
+    logRoutine("request_finished", Fields);
+  } else {
+    logEvent(log_level::Info, "request_finished", Fields);
+  }
 }
 
 void settleClaim(routed_request &Request, const net::http_response *Answer) {
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -246,18 +246,17 @@
   Request->Call.Upstream = Upstream;
   Request->Call.UpstreamName = Member->Name;
   Request->Call.SentAt = Now;
-  logEvent(
-      log_level::Info, "route",
-      {{"request", Request->PublicId},
-       {"team", Request->Team->Name},
-       {"service", Request->Service->Name},
-       {"upstream", Member->Name},
-       {"failure_domain", Member->FailureDomain},
-       {"attempt", Request->Attempts},
-       {"waited_us", toMicros(Now - Request->Arrived)},
-       {"preferred", Request->Preferred
-                         ? (*Request->Preferred == Upstream ? "hit" : "miss")
-                         : "none"}});
+  logRoutine("route", {{"request", Request->PublicId},
+                       {"team", Request->Team->Name},
+                       {"service", Request->Service->Name},
+                       {"upstream", Member->Name},
+                       {"failure_domain", Member->FailureDomain},
+                       {"attempt", Request->Attempts},
+                       {"waited_us", toMicros(Now - Request->Arrived)},
+                       {"preferred",
+                        Request->Preferred
+                            ? (*Request->Preferred == Upstream ? "hit" : "miss")
+                            : "none"}});
   net::http_call Call;
   Call.Method = Request->Method;
   Call.Url = "http://" + std::string(Member->Address) + Request->Target;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -70,6 +70,9 @@
   endpoint Addresses;
   /// How long callers may keep an address answer.
   std::chrono::milliseconds AddressTtl{2000};
+  /// Retries at one service that all routers together may make at once, beside
+  /// those that first calls earn.
+  double RetrySlack = 60;
 
   [[nodiscard]] bool enabled() const noexcept { return !Requests.empty(); }
 };
@@ -92,7 +95,7 @@
 
 /// `[log]`
 struct log_settings {
-  /// Empty for standard error.
+  /// Empty for standard output.
   std::filesystem::path Path;
   log_level Level = log_level::Info;
 };
--- a/src/traffic/traffic_end.cpp
+++ b/src/traffic/traffic_end.cpp
@@ -15,23 +15,28 @@
 
 /// Status that promises that a request has not run.
 constexpr int NotRunStatus = 503;
+constexpr int FirstFailure = 300;
 constexpr int FirstServerError = 500;
 /// Wait that is asked for when an error names none.
 constexpr std::string_view DefaultRetryAfter = "0.3";
 
 void logFinished(const traffic_request &Request, std::string_view Result,
                  int Status) {
-  logEvent(
-      log_level::Info, "request_finished",
-      {{"request", Request.Caller.Id},
-       {"team", Request.teamName()},
-       {"route", Request.Route->Name},
-       {"service", Request.Service},
-       {"result", Result},
-       {"status", Status},
-       {"upstream", Request.Call.Instance},
-       {"attempts", Request.Attempts},
-       {"duration_us", toMicros(monotonic_clock::now() - Request.Arrived)}});
+  const std::initializer_list<log_field> Fields = {
+      {"request", Request.Caller.Id},
+      {"team", Request.teamName()},
+      {"route", Request.Route->Name},
+      {"service", Request.Service},
+      {"result", Result},
+      {"status", Status},
+      {"upstream", Request.Call.Instance},
+      {"attempts", Request.Attempts},
+      {"duration_us", toMicros(monotonic_clock::now() - Request.Arrived)}};
+  if (Status != 0 && Status < FirstFailure) {
+    logRoutine("request_finished", Fields);
+  } else {
+    logEvent(log_level::Info, "request_finished", Fields);
+  }
 }
 
 /// Headers of the upstream's connection that the server does not drop itself.
