Give each service a retry budget of its own and divide it among routers

Cause: one budget a router served all services, and each router could save up 20 retries. A small service that refuses everything could take what the calls to a large one had earned, and twelve routers could make 240 retries at once where the fleet's slack is 60. Ruled out: the percentage, which is half of what upstreams bear. Change: budgets by service; two thirds of the slack that the settings name are divided by the number of live routers.

--- a/src/control/gateway.cpp
+++ b/src/control/gateway.cpp
@@ -18,6 +18,16 @@
 /// idle ones are given up.
 constexpr std::size_t DescriptorsPerConnection = 4;
 
+/// Part of the retry slack that is used. The rest covers routers that do not
+/// agree on how many they are.
+constexpr double UsedRetrySlack = 2.0 / 3;
+
+traffic::retry_limits retryLimits(const settings::gateway_settings &Gateway) {
+  traffic::retry_limits Limits;
+  Limits.FleetSaved = UsedRetrySlack * Gateway.RetrySlack;
+  return Limits;
+}
+
 /// True when this router can serve callers.
 bool isReady(const router::router_context &Context) {
   const bool Configured = Context.Routing.read([](const auto &State) {
@@ -35,7 +45,8 @@
                  const router::front_hooks &Hooks, router::shard &Shard,
                  traffic::traffic_pools::send_function Send)
     : Settings(Settings), Adapter(Adapter), Context(Context), Hooks(Hooks),
-      Shard(Shard), Traffic(Context, Shard, Adapter.Codec, std::move(Send)) {
+      Shard(Shard), Traffic(Context, Shard, Adapter.Codec,
+                            retryLimits(Settings.Gateway), std::move(Send)) {
   listen(Settings.Gateway.Requests, [this](const exchange_ptr &Exchange) {
     traffic::handleTraffic(Traffic, Exchange);
   });
--- a/src/router/retry_budget.h
+++ b/src/router/retry_budget.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <cstdint>
 
 namespace arbutus::router {
@@ -15,15 +16,18 @@
   /// Sets the retries that 100 first calls earn.
   void setPercent(int Percent) noexcept { PercentValue = Percent; }
 
-  /// Records a first call.
-  void earn() noexcept {
-    const std::int64_t Earned = PercentValue.load(std::memory_order_relaxed);
-    std::int64_t Now = Cents.load(std::memory_order_relaxed);
-    while (!Cents.compare_exchange_weak(Now, std::min(Now + Earned, MostCents),
-                                        std::memory_order_relaxed)) {
-    }
+  /// Sets the retries that may be saved up, at least one. What is saved beyond
+  /// them is lost.
+  void setMostSaved(double Retries) noexcept {
+    const auto Most = std::max(
+        CentsPerRetry, std::int64_t{std::llround(Retries * CentsPerRetry)});
+    MostCents.store(Most, std::memory_order_relaxed);
+    add(0);
   }
 
+  /// Records a first call.
+  void earn() noexcept { add(PercentValue.load(std::memory_order_relaxed)); }
+
   /// Takes one retry, or returns false when none is left.
   [[nodiscard]] bool spend() noexcept {
     std::int64_t Now = Cents.load(std::memory_order_relaxed);
@@ -38,12 +42,20 @@
 
 private:
   static constexpr std::int64_t CentsPerRetry = 100;
-  /// A quiet router can save up 20 retries, enough for the running calls of
-  /// one lost upstream and no more.
-  static constexpr std::int64_t MostCents = 20 * CentsPerRetry;
+
+  void add(std::int64_t Earned) noexcept {
+    const std::int64_t Most = MostCents.load(std::memory_order_relaxed);
+    std::int64_t Now = Cents.load(std::memory_order_relaxed);
+    while (!Cents.compare_exchange_weak(Now, std::min(Now + Earned, Most),
+                                        std::memory_order_relaxed)) {
+    }
+  }
 
   std::atomic<std::int64_t> Cents = 10 * CentsPerRetry;
   std::atomic<int> PercentValue = 10;
+  /// A quiet router can save up 20 retries, enough for the running calls of
+  /// one lost upstream and no more.
+  std::atomic<std::int64_t> MostCents = 20 * CentsPerRetry;
 };
 
 } // namespace arbutus::router
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -28,6 +28,7 @@
 constexpr impl::integer_range PortNumbers{1, 65535};
 constexpr impl::integer_range TtlMillis{100, 3600000};
 constexpr impl::integer_range PollMillis{50, 60000};
+constexpr impl::integer_range RetryCounts{0, 1000000};
 constexpr std::size_t Sha256HexDigits = 64;
 /// Bounds memory when the path names a wrong file.
 constexpr std::size_t LongestFileBytes = std::size_t{4} << 20U;
@@ -210,6 +211,8 @@
          Reader.address("addresses", presence::Optional, true));
   assign(Gateway.AddressTtl,
          Reader.integer("address_ttl_ms", TtlMillis, presence::Optional));
+  assign(Gateway.RetrySlack,
+         Reader.number("retry_slack", RetryCounts, presence::Optional));
   Reader.finish();
 }
 
--- a/src/settings/table_reader.cpp
+++ b/src/settings/table_reader.cpp
@@ -105,6 +105,29 @@
   return Value;
 }
 
+std::optional<double> table_reader::number(const std::string &Key,
+                                           integer_range Range,
+                                           presence Presence) {
+  const auto *Node = find(Key, Presence);
+  if (Node == nullptr) {
+    return std::nullopt;
+  }
+  const auto Value = Node->value<double>();
+  if (!Node->is_number() || !Value) {
+    failType(Key, "a number", *Node);
+    return std::nullopt;
+  }
+  const bool InRange = *Value >= static_cast<double>(Range.Least) &&
+                       *Value <= static_cast<double>(Range.Most);
+  if (!InRange) { // also for "not a number"
+    fail(Key, settings_error_code::OutOfRange,
+         std::to_string(*Value) + " is not in " + std::to_string(Range.Least) +
+             ".." + std::to_string(Range.Most));
+    return std::nullopt;
+  }
+  return Value;
+}
+
 std::optional<bool> table_reader::boolean(const std::string &Key) {
   const auto *Node = find(Key, presence::Optional);
   if (Node == nullptr) {
--- a/src/settings/table_reader.h
+++ b/src/settings/table_reader.h
@@ -47,6 +47,9 @@
                                                 presence Presence);
   [[nodiscard]] std::optional<std::int64_t>
   integer(const std::string &Key, integer_range Range, presence Presence);
+  /// A whole or fractional number.
+  [[nodiscard]] std::optional<double>
+  number(const std::string &Key, integer_range Range, presence Presence);
   [[nodiscard]] std::optional<bool> boolean(const std::string &Key);
   /// Port 0 is a fault unless `AllowAnyPort`.
   [[nodiscard]] std::optional<endpoint>
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -66,7 +66,7 @@
       Now < Request.Deadline && router::holdsLease(Request.Shard.Context, Now);
   Result.BudgetLeft = true;
   if (router::decideNextStep(Result).Step == next_step::Retry) {
-    Result.BudgetLeft = Request.Shard.Context.Retries.spend();
+    Result.BudgetLeft = Request.Shard.Retries.spend(Request.Service);
   }
   return Result;
 }
@@ -203,7 +203,7 @@
   }
   Request->Phase = request_phase::Calling;
   if (++Request->Attempts == 1) {
-    Shard.Context.Retries.earn();
+    Shard.Retries.earn(Request->Service);
   }
   Request->Call = instance_call{};
   Request->Call.Upstream = Upstream;
@@ -283,6 +283,7 @@
                    const std::shared_ptr<net::http_exchange> &Exchange) {
   const auto Caller = Shard.Codec.ReadRequest(Exchange->request());
   Shard.Pools.follow();
+  Shard.Retries.setRouters(Shard.Pools.routers());
   const auto Admitted = admitTraffic(Shard, Exchange, Caller);
   if (Admitted.has_error()) {
     Shard.Context.Metrics.countError(Admitted.error());
--- a/src/traffic/traffic_pools.cpp
+++ b/src/traffic/traffic_pools.cpp
@@ -88,6 +88,7 @@
   Nodes = State.Nodes;
   const instant Now = monotonic_clock::now();
   const auto Live = liveRouters(*Nodes);
+  Routers = Live.size();
   std::vector<balance::cell> Owned;
   Cells.clear();
   for (const auto Service : View->traffic().serviceNames()) {
--- a/src/traffic/traffic_pools.h
+++ b/src/traffic/traffic_pools.h
@@ -77,6 +77,9 @@
   void onLoad(std::string_view Service, upstream_id Upstream,
               const balance::reported_load &Load);
 
+  /// Number of live routers, as of the last `follow`.
+  [[nodiscard]] std::size_t routers() const noexcept { return Routers; }
+
   /// False if no upstream of the service may take the request, whatever their
   /// load.
   [[nodiscard]] bool anyUsable(std::string_view Service,
@@ -130,6 +133,7 @@
   /// Used while an owner is silent.
   std::map<std::string, balance::local_pool, std::less<>> Local;
   std::map<std::string, team_id> Teams;
+  std::size_t Routers = 1;
   entry_map Entries;
   std::unordered_map<std::uint64_t, std::uint64_t> NumberOfRequest;
   std::shared_ptr<const store::config_view> View;
--- /dev/null
+++ b/tests/traffic/test_service_budgets.cpp
@@ -0,0 +1,81 @@
+#include "traffic/service_budgets.h"
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace arbutus::traffic;
+
+namespace {
+
+/// A small service that refuses everything, beside a large one that is well.
+struct refusing_service {
+  int Routers = 1;
+  double Ratio = 0.2;
+  double Slack = 60;
+  int SmallPerSecond = 25;
+  int LargePerSecond = 170;
+  int Seconds = 10;
+};
+
+/// Retries that the fleet makes at the small service when each call to it is
+/// refused and wants another try at once.
+int retriesAtSmall(const refusing_service &Load) {
+  std::vector<service_budgets> Fleet;
+  for (int I = 0; I < Load.Routers; ++I) {
+    Fleet.emplace_back(retry_limits{10, Load.Slack * 2 / 3});
+    Fleet.back().setRouters(static_cast<std::size_t>(Load.Routers));
+  }
+  std::size_t Next = 0;
+  const auto Router = [&]() -> service_budgets & {
+    return Fleet[Next++ % Fleet.size()];
+  };
+  int Retries = 0;
+  for (int Second = -Load.Seconds; Second < Load.Seconds; ++Second) {
+    for (int I = 0; I < Load.LargePerSecond; ++I) {
+      Router().earn("large");
+    }
+    for (int I = 0; I < Load.SmallPerSecond; ++I) {
+      auto &Budgets = Router();
+      Budgets.earn("small");
+      if (Second >= 0) {
+        for (int Try = 0; Try < 2; ++Try) {
+          Retries += Budgets.spend("small") ? 1 : 0;
+        }
+      }
+    }
+  }
+  return Retries;
+}
+
+} // namespace
+
+// A service that refused everything used to take the retries that the calls to
+// another service had earned, and each router saved up 20 of them, so that a
+// fleet of twelve went far beyond what the small service's traffic allows.
+TEST_CASE("retries at a service that refuses keep to the fleet's limit") {
+  const std::vector<refusing_service> Rows = {
+      {1}, {10}, {12}, {96, 0.2, 232, 140, 970}, {66, 0.2, 172, 316, 2170}};
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Routers);
+    const double Allowed =
+        Row.Ratio * Row.SmallPerSecond * Row.Seconds + Row.Slack;
+    const int Retries = retriesAtSmall(Row);
+    CHECK(Retries <= Allowed);
+    CHECK(Retries >= Row.SmallPerSecond * Row.Seconds / 20);
+  }
+}
+
+// Guards against a fleet whose routers come and go and that saves up more
+// retries each time.
+TEST_CASE("what is saved up follows the number of routers") {
+  service_budgets Budgets(retry_limits{10, 40});
+  for (int I = 0; I < 1000; ++I) {
+    Budgets.earn("s");
+  }
+  Budgets.setRouters(20);
+  int Retries = 0;
+  while (Budgets.spend("s")) {
+    ++Retries;
+  }
+  CHECK(Retries == 2);
+}
