Let a broken stream go on at another upstream

Cause: a stream whose engine broke off ended with its connection, although its route says that a new run may continue it; a part of an event reached the caller before the break. Change: only whole events are passed on (event_splitter). A route's resumable stream goes on at another upstream after the last event that was passed on, within the attempts of the route, the retry budget and the deadline; headers and signature stay those of the first. A repeat may also be sent later than a first call: a late answer is better than none.

--- a/src/traffic/site_codec.h
+++ b/src/traffic/site_codec.h
@@ -19,6 +19,9 @@
   /// The caller's team, or empty.
   std::string_view Team;
   duration TimeLeft{};
+  /// Last event that the caller has of a stream that goes on at this upstream;
+  /// nothing for a stream from its start, or as the caller asked for it.
+  std::optional<std::uint64_t> ResumeAfter;
 };
 
 /// What the headers of an upstream's answer say.
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -46,9 +46,15 @@
                                                 : call_health::Failed;
 }
 
+bool succeeded(const traffic_request &Request) {
+  return Request.Call.Status < FirstFailureStatus;
+}
+
 bool answerIsValid(const traffic_request &Request) {
-  const bool Success = Request.Call.Status < FirstFailureStatus;
-  return !Request.Call.Oversized && (!Success || Request.Call.Facts.Signed);
+  // A failure cannot continue a stream that has begun.
+  const bool Fits = succeeded(Request) ? Request.Call.Facts.Signed
+                                       : !Request.Exchange->answered();
+  return !Request.Call.Oversized && Fits;
 }
 
 router::call_result resultOf(traffic_request &Request,
@@ -61,16 +67,42 @@
   Result.AnswerValid = answerIsValid(Request);
   Result.AnswerBegun = Request.Exchange->answered();
   Result.Idempotent = Request.mayRepeat();
+  Result.Resumable = Request.Route->Resumable && Request.Events.resumable() &&
+                     Request.Events.lastId().has_value();
   Result.AttemptsLeft = Request.Attempts < Request.Route->MaxAttempts;
   Result.DeadlineLeft =
       Now < Request.Deadline && router::holdsLease(Request.Shard.Context, Now);
   Result.BudgetLeft = true;
-  if (router::decideNextStep(Result).Step == next_step::Retry) {
+  const auto Step = router::decideNextStep(Result).Step;
+  if (Step == next_step::Retry || Step == next_step::Resume) {
     Result.BudgetLeft = Request.Shard.Retries.spend(Request.Service);
   }
   return Result;
 }
 
+/// Sends whole events of a stream to the caller.
+void passOn(traffic_request &Request, std::string Events) {
+  if (Events.empty()) {
+    return;
+  }
+  if (!Request.Exchange->answered()) {
+    // Headers and signature stay those of the first upstream.
+    Request.Exchange->beginStream(Request.Call.Status,
+                                  answerHeaders(Request.Call.Headers));
+  }
+  Request.Exchange->writeChunk(std::move(Events));
+}
+
+/// Looks for another upstream after a call that has failed. What a first call
+/// had to be sent by no longer holds: a late answer is better than none.
+void callAgain(const traffic_request_ptr &Request) {
+  const instant Now = monotonic_clock::now();
+  Request->Events.restart();
+  Request->SendBy =
+      std::max(Request->SendBy, Now + (Request->Deadline - Now) / 2);
+  enqueueRequest(Request);
+}
+
 void onCallDone(const traffic_request_ptr &Request, net::call_outcome Outcome) {
   auto &Shard = Request->Shard;
   const auto Health = healthOf(*Request, Outcome);
@@ -90,6 +122,9 @@
   const auto Decision = router::decideNextStep(Result);
   Request->MayHaveRun = Request->MayHaveRun || !router::provedNotRun(Result);
   if (Decision.Step == next_step::Answer) {
+    if (Request->isStream() && succeeded(*Request)) {
+      passOn(*Request, Request->Events.takeRest());
+    }
     answerTraffic(Request);
     return;
   }
@@ -101,10 +136,10 @@
             {"not_run", Request->Call.Facts.NotRun},
             {"next", nameOf(Decision.Step)},
             {"error", nameOf(Decision.Error)}});
-  if (Decision.Step == next_step::Retry) {
+  if (Decision.Step == next_step::Retry || Decision.Step == next_step::Resume) {
     Shard.Context.Metrics.countRetry();
     Request->Excluded.push_back(Request->Call.Upstream);
-    enqueueRequest(Request);
+    callAgain(Request);
     return;
   }
   failTraffic(Request, Decision.Error, Decision.Outcome);
@@ -124,13 +159,8 @@
     Call.FirstByte = true;
     Request->Shard.Pools.onFirstByte(Request->Id);
   }
-  const bool PassOn = Request->isStream() && answerIsValid(*Request) &&
-                      Call.Status < FirstFailureStatus;
-  if (PassOn) {
-    if (!Request->Exchange->answered()) {
-      Request->Exchange->beginStream(Call.Status, answerHeaders(Call.Headers));
-    }
-    Request->Exchange->writeChunk(std::string(Bytes));
+  if (Request->isStream() && succeeded(*Request) && answerIsValid(*Request)) {
+    passOn(*Request, Request->Events.feed(Bytes));
     return;
   }
   if (Call.Body.size() + Bytes.size() > MostAnswerBytes) {
@@ -159,8 +189,9 @@
   Call.Headers = Request->Caller.Forwarded;
   Call.Body = Request->Body;
   Call.Timeout = std::max<duration>(Request->Deadline - Now, 1ms);
-  Request->Shard.Codec.AddCallHeaders(
-      {Instance.Name, Request->teamName(), Call.Timeout}, Call.Headers);
+  Request->Shard.Codec.AddCallHeaders({Instance.Name, Request->teamName(),
+                                       Call.Timeout, Request->Events.lastId()},
+                                      Call.Headers);
   Call.IsAnswer = [Request](const net::http_headers &Headers) {
     return Request->Shard.Codec.BelongsTo(Headers, Request->Caller.Id);
   };
@@ -209,15 +240,14 @@
   Request->Call.Upstream = Upstream;
   Request->Call.Instance = Instance->Name;
   Request->Call.SentAt = Now;
-  logEvent(log_level::Info, "route",
-           {{"request", Request->Caller.Id},
-            {"team", Request->teamName()},
-            {"route", Request->Route->Name},
-            {"upstream", Instance->Name},
-            {"failure_domain", Instance->Spec->FailureDomain},
-            {"revision", number(View->currentRevision())},
-            {"attempt", Request->Attempts},
-            {"waited_us", toMicros(Now - Request->Arrived)}});
+  logRoutine("route", {{"request", Request->Caller.Id},
+                       {"team", Request->teamName()},
+                       {"route", Request->Route->Name},
+                       {"upstream", Instance->Name},
+                       {"failure_domain", Instance->Spec->FailureDomain},
+                       {"revision", number(View->currentRevision())},
+                       {"attempt", Request->Attempts},
+                       {"waited_us", toMicros(Now - Request->Arrived)}});
   Request->Call.Call =
       Shard.Shard.Client.start(makeCall(Request, *Instance, Now));
 }
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -5,6 +5,7 @@
 #include "router/request_error.h"
 #include "router/routed_request.h"
 #include "traffic/caller_request.h"
+#include "traffic/event_splitter.h"
 #include "traffic/site_codec.h"
 #include "traffic/traffic_shard.h"
 
@@ -70,6 +71,8 @@
   bool CallerGone = false;
   std::vector<upstream_id> Excluded;
   instance_call Call;
+  /// Events of a stream that have been passed on, over all calls.
+  event_splitter Events;
 
   [[nodiscard]] bool mayRepeat() const noexcept {
     return Route->Kind == store::request_kind::Idempotent ||
--- a/tests/platform/test_request_codec.cpp
+++ b/tests/platform/test_request_codec.cpp
@@ -118,12 +118,12 @@
 
 TEST_CASE("a call names the instance, the team and the time that is left") {
   net::http_headers Headers;
-  addCallHeaders({"i-7f", "hule930", 1234567us}, Headers);
+  addCallHeaders({"i-7f", "hule930", 1234567us, {}}, Headers);
   CHECK(Headers == net::http_headers{{"Expect-Instance", "i-7f"},
                                      {"Tenant", "hule930"},
                                      {"Deadline-Ms", "1234"}});
   Headers.clear();
-  addCallHeaders({"i-7f", "", 1s}, Headers);
+  addCallHeaders({"i-7f", "", 1s, {}}, Headers);
   CHECK(find(Headers, "Tenant") == nullptr);
 }
 
@@ -188,3 +188,29 @@
     CHECK_FALSE(readAnswer(200, {{"Instance-Load", Bad}}, instant(5s)).Load);
   }
 }
+
+// Guards against a stream that goes on where the caller once asked for, and
+// not after the last event that it has got since.
+TEST_CASE("the place where a stream goes on") {
+  struct row {
+    std::string Name;
+    std::optional<std::uint64_t> ResumeAfter;
+    std::vector<std::string> Values;
+  };
+  const std::vector<row> Rows = {
+      {"as the caller asked", {}, {"12"}},
+      {"after a break", 31, {"31"}},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    arbutus::net::http_headers Headers = {{"last-event-id", "12"}};
+    addCallHeaders({"i-7f", "", 1s, Row.ResumeAfter}, Headers);
+    std::vector<std::string> Values;
+    for (const auto &[Name, Value] : Headers) {
+      if (arbutus::net::sameHeaderName(Name, "Last-Event-Id")) {
+        Values.push_back(Value);
+      }
+    }
+    CHECK(Values == Row.Values);
+  }
+}
--- /dev/null
+++ b/tests/traffic/test_event_splitter.cpp
@@ -0,0 +1,82 @@
+#include "traffic/event_splitter.h"
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace arbutus::traffic;
+
+namespace {
+
+std::string event(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: x" + std::to_string(Id) +
+         "\n\n";
+}
+
+} // namespace
+
+// Guards against half events that reach a caller and are joined with the same
+// event of the upstream where the stream goes on.
+TEST_CASE("only whole events are passed on") {
+  struct row {
+    std::string Name;
+    std::vector<std::string> Bytes;
+    std::string Passed;
+    std::optional<std::uint64_t> LastId;
+    bool Resumable;
+  };
+  const std::vector<row> Rows = {
+      {"one piece", {event(1) + event(2)}, event(1) + event(2), 2, true},
+      {"cut anywhere",
+       {"id: 1\nda", "ta: x1\n", "\nid: 2\ndata"},
+       event(1),
+       1,
+       true},
+      {"CRLF", {"id:3\r\ndata: a\r\n\r\n"}, "id:3\r\ndata: a\r\n\r\n", 3, true},
+      {"a field before the id",
+       {"weight-versions: 4\nid: 9\ndata: a\n\n"},
+       "weight-versions: 4\nid: 9\ndata: a\n\n",
+       9,
+       true},
+      {"no id", {"data: a\n\n"}, "data: a\n\n", std::nullopt, false},
+      {"no number", {"id: a\n\n"}, "id: a\n\n", std::nullopt, false},
+      {"nothing whole", {"id: 1\ndata: x"}, "", std::nullopt, true},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    event_splitter Events;
+    std::string Passed;
+    for (const auto &Bytes : Row.Bytes) {
+      Passed += Events.feed(Bytes);
+    }
+    CHECK(Passed == Row.Passed);
+    CHECK(Events.lastId() == Row.LastId);
+    CHECK(Events.resumable() == Row.Resumable);
+  }
+}
+
+// Guards against an event that is missing or comes twice when a stream goes on
+// at another upstream, which may begin with events that the caller has.
+TEST_CASE("a stream goes on after its last whole event") {
+  event_splitter Events;
+  CHECK(Events.feed(event(1) + event(2) + "id: 3\ndata: x") ==
+        event(1) + event(2));
+  Events.restart();
+  CHECK(Events.feed(event(2) + event(3)) == event(3));
+  CHECK(Events.feed(event(4)) == event(4));
+  CHECK(Events.lastId() == 4);
+  CHECK(Events.resumable());
+}
+
+// Guards against bytes of a complete answer that are kept back, and against a
+// router that buffers an endless event.
+TEST_CASE("bytes that are no whole event") {
+  event_splitter Events;
+  CHECK(Events.feed("tail").empty());
+  CHECK(Events.takeRest() == "tail");
+  CHECK_FALSE(Events.resumable());
+  event_splitter Long;
+  const std::string Bytes(std::size_t{300} << 10U, 'x');
+  CHECK(Long.feed(Bytes) == Bytes);
+  CHECK_FALSE(Long.resumable());
+}
