Estimate a team's wait by the rate at which it was served lately

Cause: a request was refused at once when an even share of the pool was too little for its team's queue. Each team with one small request that waits counted as much as one with most of the load, so that a large team was refused although the others leave it most of the pool. Change: the wait is the team's queue by its own recent rate, or by the even share if that is more. The new test fails with the old estimate.

--- a/src/balance/local_pool.cpp
+++ b/src/balance/local_pool.cpp
@@ -45,6 +45,9 @@
 
 } // namespace
 
+local_pool::local_pool(std::uint64_t Seed) noexcept
+    : Seed(Seed), Served(RateWindow) {}
+
 void local_pool::setUpstreams(const std::vector<upstream_facts> &List,
                               instant Now) {
   std::map<upstream_id, upstream_load> Next;
@@ -86,15 +89,17 @@
   const double Ahead = Own == QueuedCost.end() ? 0 : Own->second;
   const double Teams =
       static_cast<double>(Queues.size() + (Own == QueuedCost.end() ? 1 : 0));
-  const double Wait = Ahead * Teams / std::max(ServedRate, 1.0);
-  return Wait <= toSeconds(Request.SendBy - Now);
+  // Other teams with little to do leave more than an even share.
+  const auto Lately = ServedOf.find(Request.Team);
+  const double OwnRate =
+      Lately == ServedOf.end() ? 0 : Lately->second.value(Now);
+  const double Rate = std::max({OwnRate, Served.value(Now) / Teams, 1.0});
+  return Ahead / Rate <= toSeconds(Request.SendBy - Now);
 }
 
-void local_pool::noteServed(double Cost, instant Now) {
-  const double Window = toSeconds(RateWindow);
-  ServedRate *= std::exp(-toSeconds(Now - RateAt) / Window);
-  ServedRate += Cost / Window;
-  RateAt = Now;
+void local_pool::noteServed(team_id Team, double Cost, instant Now) {
+  Served.add(Cost, Now);
+  ServedOf.try_emplace(Team, RateWindow).first->second.add(Cost, Now);
 }
 
 std::optional<upstream_id> local_pool::enqueue(queued_request Request,
@@ -330,7 +335,7 @@
   }
   Running[Request.RequestId] = {Upstream, Missing};
   Order.charge(Request.Team, Request.Cost);
-  noteServed(Request.Cost, Now);
+  noteServed(Request.Team, Request.Cost, Now);
 }
 
 void local_pool::adopt(std::uint64_t RequestId, upstream_id Upstream) {
--- a/src/balance/local_pool.h
+++ b/src/balance/local_pool.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_BALANCE_LOCAL_POOL_H
 #define ARBUTUS_BALANCE_LOCAL_POOL_H
 
+#include "balance/decayed_rate.h"
 #include "balance/queued_request.h"
 #include "balance/upstream_load.h"
 #include "base/name_table.h"
@@ -38,7 +39,7 @@
 class local_pool {
 public:
   /// `Seed` spreads the first requests to cold upstreams over the routers.
-  explicit local_pool(std::uint64_t Seed) noexcept : Seed(Seed) {}
+  explicit local_pool(std::uint64_t Seed) noexcept;
 
   void setUpstreams(const std::vector<upstream_facts> &List, instant Now);
   /// Number of pools that send to the same upstreams without knowing of each
@@ -46,8 +47,9 @@
   void setSharers(std::uint32_t Count) noexcept;
 
   /// False if the request would wait beyond its limit behind its own team's
-  /// requests, each backlogged team getting an even share of what the pool has
-  /// served lately. Such a request is better refused at once.
+  /// requests, at the rate at which the team was served lately, or at an even
+  /// share of the pool's if that is more. Such a request is better refused at
+  /// once.
   [[nodiscard]] bool canServeInTime(const queued_request &Request,
                                     instant Now) const;
   /// Sends a request now or queues it.
@@ -88,7 +90,7 @@
   [[nodiscard]] std::uint64_t
   fewestMissing(const queued_request &Request) const;
   void send(const queued_request &Request, upstream_id Upstream, instant Now);
-  void noteServed(double Cost, instant Now);
+  void noteServed(team_id Team, double Cost, instant Now);
   void endPrefill(running_request &Running);
   [[nodiscard]] duration coldInterval(const upstream_load &Load) const;
   [[nodiscard]] std::optional<dispatch> takeNext(instant Now);
@@ -103,9 +105,9 @@
   std::unordered_map<std::uint64_t, std::pair<team_id, instant>> Waiting;
   std::set<std::pair<instant, std::uint64_t>> SendBy;
   std::map<team_id, double> QueuedCost;
-  /// Cost served a second, averaged over about a second.
-  double ServedRate = 0;
-  instant RateAt{};
+  /// Cost served a second, of all teams and of each.
+  decayed_rate Served;
+  std::map<team_id, decayed_rate> ServedOf;
   /// Since when requests wait without a break.
   instant BackloggedSince{};
   pool::fair_queue Order;
--- a/tests/balance/test_local_pool.cpp
+++ b/tests/balance/test_local_pool.cpp
@@ -284,3 +284,42 @@
   Pool.complete(1, call_health::Failed, Start);
   CHECK(Pool.find(upstream_id{1})->InFlight <= 1);
 }
+
+// A team with most of the load used to be refused as if each team with one
+// small request that waits took an even share of the pool.
+TEST_CASE("teams with little to do leave their share to the others") {
+  local_pool Pool(1);
+  Pool.setUpstreams({engine(1)}, Start);
+  REQUIRE(Pool.enqueue(prompt(1, 1, {{1, 5'000}}), Start));
+  std::uint64_t Running = 1;
+  std::uint64_t Id = 100;
+  instant Now = Start;
+  const auto Big = [&] {
+    auto Request = prompt(++Id, 1, {{Id, 5'000}});
+    Request.SendBy = Now + 600ms;
+    return Request;
+  };
+  // Team 1 keeps the engine busy: one prompt of 5,000 tokens every 100 ms, and
+  // three that wait.
+  for (int I = 0; I < 3; ++I) {
+    REQUIRE_FALSE(Pool.enqueue(Big(), Now));
+  }
+  for (int Step = 0; Step < 20; ++Step) {
+    Now += 100ms;
+    Pool.onFirstByte(Running);
+    Pool.complete(Running, call_health::Good, Now);
+    REQUIRE_FALSE(Pool.enqueue(Big(), Now));
+    const auto Ready = Pool.takeReady(Now);
+    REQUIRE(Ready.size() == 1);
+    Running = Ready[0].RequestId;
+  }
+  for (std::uint32_t Team = 2; Team < 12; ++Team) {
+    const std::uint64_t Small = 10'000 + Team;
+    REQUIRE_FALSE(Pool.enqueue(prompt(Small, Team, {{Small, 50}}), Now));
+  }
+  // About 300 ms of its own work stand before the next request.
+  CHECK(Pool.canServeInTime(Big(), Now));
+  auto Late = Big();
+  Late.SendBy = Now + 200ms;
+  CHECK_FALSE(Pool.canServeInTime(Late, Now));
+}
