--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -24,7 +24,9 @@
   Info.FailureDomain = Settings.Node.FailureDomain;
   Info.Region = Settings.Node.Region;
   Info.HttpAddress = Settings.Listen.Http.text();
-  Info.MeshAddress = Settings.Listen.Mesh.text();
+  const auto &Advertised = Settings.Listen.MeshAdvertised;
+  Info.MeshAddress =
+      Advertised.empty() ? Settings.Listen.Mesh.text() : Advertised.text();
   Info.Router = Settings.Node.Router;
   Info.Control = Settings.Node.Control;
   Info.TrafficAddress = Settings.Gateway.Requests.text();
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -485,7 +485,9 @@
 
 int runServer(const settings::settings &Settings,
               const traffic::site_adapter *Adapter) {
-  std::signal(SIGPIPE, SIG_IGN); // a closed peer or output is an error code
+  // A closed peer or output, and a limit on files, are error codes.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
   openLog(Settings.Log.Path.string(), Settings.Log.Level, Settings.Node.Name);
   server Server(Settings, Adapter);
   if (!Server.start()) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -87,6 +87,8 @@
 void readListen(table_reader Reader, listen_settings &Listen) {
   assign(Listen.Http, Reader.address("http", presence::Required, true));
   assign(Listen.Mesh, Reader.address("mesh", presence::Required, true));
+  assign(Listen.MeshAdvertised,
+         Reader.address("mesh_advertised", presence::Optional, false));
   assign(Listen.Threads,
          Reader.integer("threads", ThreadCounts, presence::Optional));
   if (!Listen.Http.empty() && Listen.Http.Port != 0 &&
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -32,6 +32,9 @@
 struct listen_settings {
   endpoint Http;
   endpoint Mesh;
+  /// Where other processes reach the mesh listener, if something forwards to
+  /// it; else empty.
+  endpoint MeshAdvertised;
   /// I/O shards, 1 to 64.
   int Threads = 1;
 };
