Let a resend wait for the answer that is being recorded

Cause: a router answers a claimed call before its record is committed. When the leader is killed in between, a resend found the claim open and got 409 claim_in_progress although its caller had been answered before (known red: e2e "kill -9 of the leader"). Ruled out: a second run; the claim stays held, and its owner repeats the record. Change: a resend that finds its claim held asks again every 200 ms, until its deadline or 5 s after it came; 409 follows only then.

--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "router/request_end.h"
 #include "router/upstream_answer.h"
+#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -333,6 +334,39 @@
   }
 }
 
+/// Until when a claim is waited for.
+instant claimDeadline(const routed_request &Request) {
+  // A claim that takes longer than an election is not worth waiting for.
+  constexpr duration ClaimWait = 5s;
+  return std::min(Request.Deadline, Request.Arrived + ClaimWait);
+}
+
+void claim(const request_ptr &Request);
+
+/// Asks again after a pause, while another attempt holds the claim: its answer
+/// is recorded soon, or its end becomes known. A caller that resends after a
+/// lost answer gets the recorded one in this way.
+void claimLater(const request_ptr &Request) {
+  constexpr duration ClaimPause = 200ms;
+  if (monotonic_clock::now() + ClaimPause >= claimDeadline(*Request)) {
+    failRequest(Request, request_error::ClaimInProgress, run_outcome::Unknown);
+    return;
+  }
+  const auto Timer = std::make_shared<asio::steady_timer>(Request->Shard.Io);
+  Timer->expires_after(ClaimPause);
+  Timer->async_wait([Request, Timer](const asio::error_code &Error) {
+    if (Error || Request->Phase == request_phase::Finished) {
+      return;
+    }
+    if (Request->CallerGone) {
+      Request->Phase = request_phase::Finished;
+      logFinished(*Request, "caller_gone", 0);
+      return;
+    }
+    claim(Request);
+  });
+}
+
 void onClaimed(const request_ptr &Request,
                const std::optional<store::command_outcome> &Outcome) {
   if (!Outcome) {
@@ -353,7 +387,7 @@
     answerFromRecord(Request, *Outcome);
     return;
   case store::outcome_code::InProgress:
-    failRequest(Request, request_error::ClaimInProgress, run_outcome::Unknown);
+    claimLater(Request);
     return;
   case store::outcome_code::Mismatch:
     failRequest(Request, request_error::ClaimMismatch, run_outcome::NotRun);
@@ -367,6 +401,12 @@
   }
 }
 
+void claim(const request_ptr &Request) {
+  Request->Context.Claims.claim(
+      *Request->Claim, claimDeadline(*Request), Request->Shard,
+      [Request](const auto &Outcome) { onClaimed(Request, Outcome); });
+}
+
 void onCallerGone(const request_ptr &Request) {
   Request->CallerGone = true;
   if (Request->Phase == request_phase::Waiting &&
@@ -442,12 +482,7 @@
     return;
   }
   Request->Phase = request_phase::Claiming;
-  // A claim that takes longer than an election is not worth waiting for.
-  static constexpr duration ClaimWait = 5s;
-  Request->Context.Claims.claim(
-      *Request->Claim,
-      std::min(Request->Deadline, Request->Arrived + ClaimWait), Request->Shard,
-      [Request](const auto &Outcome) { onClaimed(Request, Outcome); });
+  claim(Request);
 }
 
 } // namespace arbutus::router
