Give Retry-After by the queue and show latencies in histograms

Cause: each refusal asked callers to come back after 0.3 s, whatever stood in the queue, and all callers of one moment came back together. Change: the owner of a cell says by how much the team's queue exceeds the time that a request may wait; a router without a lease names about an election; waits are spread over 0.8 to 1.2 of their length. Histograms of the time waiting, to the first byte, and whole, by stage.

--- a/src/balance/local_pool.cpp
+++ b/src/balance/local_pool.cpp
@@ -79,22 +79,22 @@
   Sharers = std::max(1U, Count);
 }
 
-bool local_pool::canServeInTime(const queued_request &Request,
-                                instant Now) const {
+duration local_pool::expectedWait(team_id Team, instant Now) const {
   // The rate says what can be served only while there is always a next request.
   if (Waiting.empty() || Now - BackloggedSince < RateWindow) {
-    return true;
+    return duration::zero();
   }
-  const auto Own = QueuedCost.find(Request.Team);
+  const auto Own = QueuedCost.find(Team);
   const double Ahead = Own == QueuedCost.end() ? 0 : Own->second;
   const double Teams =
       static_cast<double>(Queues.size() + (Own == QueuedCost.end() ? 1 : 0));
   // Other teams with little to do leave more than an even share.
-  const auto Lately = ServedOf.find(Request.Team);
+  const auto Lately = ServedOf.find(Team);
   const double OwnRate =
       Lately == ServedOf.end() ? 0 : Lately->second.value(Now);
   const double Rate = std::max({OwnRate, Served.value(Now) / Teams, 1.0});
-  return Ahead / Rate <= toSeconds(Request.SendBy - Now);
+  constexpr double LongestSeconds = 3600; // of a pool that serves nothing
+  return duration(std::llround(std::min(Ahead / Rate, LongestSeconds) * 1e6));
 }
 
 void local_pool::noteServed(team_id Team, double Cost, instant Now) {
--- a/src/balance/local_pool.h
+++ b/src/balance/local_pool.h
@@ -46,12 +46,16 @@
   /// other; 1 when this one sees all requests.
   void setSharers(std::uint32_t Count) noexcept;
 
-  /// False if the request would wait beyond its limit behind its own team's
-  /// requests, at the rate at which the team was served lately, or at an even
-  /// share of the pool's if that is more. Such a request is better refused at
+  /// Time for which a request of this team would wait now behind those of its
+  /// own, at the rate at which the team was served lately, or at an even share
+  /// of the pool's if that is more. 0 while that is not known.
+  [[nodiscard]] duration expectedWait(team_id Team, instant Now) const;
+  /// False if the request would wait beyond its limit; it is better refused at
   /// once.
   [[nodiscard]] bool canServeInTime(const queued_request &Request,
-                                    instant Now) const;
+                                    instant Now) const {
+    return Now + expectedWait(Request.Team, Now) <= Request.SendBy;
+  }
   /// Sends a request now or queues it.
   [[nodiscard]] std::optional<upstream_id> enqueue(queued_request Request,
                                                    instant Now);
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -15,6 +15,17 @@
       .Add({});
 }
 
+/// Upper bounds of the histograms, in seconds: each twice the one before.
+prometheus::Histogram::BucketBoundaries latencyBounds() {
+  constexpr double Least = 0.005;
+  constexpr int Count = 12;
+  prometheus::Histogram::BucketBoundaries Bounds;
+  for (int I = 0; I < Count; ++I) {
+    Bounds.push_back(Least * (1U << I));
+  }
+  return Bounds;
+}
+
 } // namespace
 
 router_metrics::router_metrics()
@@ -35,6 +46,18 @@
   for (const auto &Row : name_table<request_error>::Rows) {
     Errors[Row.Value] = &Family.Add({{"type", std::string(Row.Name)}});
   }
+  auto &Times = prometheus::BuildHistogram()
+                    .Name("arbutus_request_seconds")
+                    .Help("Time of requests by stage, in seconds")
+                    .Register(Registry);
+  for (const auto &Row : name_table<request_stage>::Rows) {
+    Latencies[Row.Value] =
+        &Times.Add({{"stage", std::string(Row.Name)}}, latencyBounds());
+  }
+}
+
+void router_metrics::observe(request_stage Stage, duration Time) {
+  Latencies.at(Stage)->Observe(toSeconds(Time));
 }
 
 void router_metrics::countError(request_error Error) noexcept {
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -1,9 +1,12 @@
 #ifndef ARBUTUS_ROUTER_ROUTER_METRICS_H
 #define ARBUTUS_ROUTER_ROUTER_METRICS_H
 
+#include "base/clock.h"
 #include "router/request_error.h"
+#include "router/request_stage.h"
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <map>
@@ -23,6 +26,8 @@
   void countTokens(double Count) noexcept { Tokens->Increment(Count); }
   void countInvalidAnswer() noexcept { InvalidAnswers->Increment(); }
   void countError(request_error Error) noexcept;
+  /// Adds the time that a request has spent in a stage.
+  void observe(request_stage Stage, duration Time);
 
   /// Sets a gauge that another part computes when metrics are read.
   void setGauge(const std::string &Name, const std::string &Help, double Value);
@@ -38,6 +43,7 @@
   prometheus::Counter *Tokens;
   prometheus::Counter *InvalidAnswers;
   std::map<request_error, prometheus::Counter *> Errors;
+  std::map<request_stage, prometheus::Histogram *> Latencies;
 };
 
 } // namespace arbutus::router
--- a/src/traffic/slot_host.cpp
+++ b/src/traffic/slot_host.cpp
@@ -10,6 +10,17 @@
 using balance::call_health;
 using balance::cell_key;
 
+namespace {
+
+/// Time until a request that is refused now would no longer wait too long.
+std::int64_t retryAfter(const balance::local_pool &Pool,
+                        const balance::queued_request &Request, instant Now) {
+  const duration Wait = Pool.expectedWait(Request.Team, Now);
+  return toMicros(std::max(duration::zero(), Wait - (Request.SendBy - Now)));
+}
+
+} // namespace
+
 void slot_host::own(const std::vector<balance::cell> &List, instant Now) {
   std::map<cell_key, std::unique_ptr<hosted_cell>> Next;
   for (const auto &Cell : List) {
@@ -30,7 +41,7 @@
              {{"service", Key.Service}, {"cell", Key.Index}});
     for (const auto &[Id, Sender] : Host->Senders) {
       if (Host->Pool.cancel(Id)) {
-        Send(Sender.first, {Sender.second, slot_decision::NotOwner, 0});
+        Send(Sender.first, {Sender.second, slot_decision::NotOwner, 0, 0});
       }
     }
   }
@@ -55,7 +66,7 @@
                           instant Now) {
   const auto Found = Cells.find({Request.Service, Request.Cell});
   if (Found == Cells.end()) {
-    Send(From, {Request.Number, slot_decision::NotOwner, 0});
+    Send(From, {Request.Number, slot_decision::NotOwner, 0, 0});
     return;
   }
   auto &Cell = *Found->second;
@@ -70,13 +81,14 @@
   Queued.SendBy = Now + duration(Request.SendWithin);
   if (!Cell.Pool.canServeInTime(Queued, Now)) {
     forget(Cell, Queued.RequestId);
-    Send(From, {Request.Number, slot_decision::Refused, 0});
+    Send(From, {Request.Number, slot_decision::Refused, 0,
+                retryAfter(Cell.Pool, Queued, Now)});
     return;
   }
   const auto Upstream = Cell.Pool.enqueue(std::move(Queued), Now);
   Send(From,
        {Request.Number, Upstream ? slot_decision::Send : slot_decision::Queued,
-        Upstream ? number(*Upstream) : 0});
+        Upstream ? number(*Upstream) : 0, 0});
 }
 
 void slot_host::onEvents(node_id From, const slot_events_message &Message,
@@ -174,12 +186,12 @@
   for (const auto Id : Cell.Pool.expire(Now)) {
     const auto Sender = Cell.Senders.at(Id);
     forget(Cell, Id);
-    Send(Sender.first, {Sender.second, slot_decision::Refused, 0});
+    Send(Sender.first, {Sender.second, slot_decision::Refused, 0, 0});
   }
   for (const auto &Ready : Cell.Pool.takeReady(Now)) {
     const auto &Sender = Cell.Senders.at(Ready.RequestId);
     Send(Sender.first,
-         {Sender.second, slot_decision::Send, number(Ready.Upstream)});
+         {Sender.second, slot_decision::Send, number(Ready.Upstream), 0});
   }
 }
 
--- a/src/traffic/slot_messages.h
+++ b/src/traffic/slot_messages.h
@@ -43,8 +43,11 @@
   std::uint64_t Number = 0;
   slot_decision Decision = slot_decision::Queued;
   std::uint32_t Upstream = 0;
+  /// Of a refusal: when the request could be sent at the earliest, from now on,
+  /// in microseconds; 0 if that is not known.
+  std::int64_t RetryAfter = 0;
 
-  MSGPACK_DEFINE(Number, Decision, Upstream)
+  MSGPACK_DEFINE(Number, Decision, Upstream, RetryAfter)
 };
 
 enum class slot_event_kind : int {
--- a/src/traffic/traffic_end.cpp
+++ b/src/traffic/traffic_end.cpp
@@ -1,6 +1,8 @@
 #include "traffic/traffic_end.h"
 
+#include "base/digest.h"
 #include "base/log.h"
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <iterator>
@@ -17,11 +19,25 @@
 constexpr int NotRunStatus = 503;
 constexpr int FirstFailure = 300;
 constexpr int FirstServerError = 500;
-/// Wait that is asked for when an error names none.
-constexpr std::string_view DefaultRetryAfter = "0.3";
+constexpr std::string_view AnsweredResult = "answered";
+/// Time after which callers are asked to come back. Short: a team's queue
+/// empties within it, and other routers are open at once.
+constexpr duration UsualRetryAfter = 300ms;
+/// A router gets a lease again within about an election.
+constexpr duration LeaseRetryAfter = 1s;
+/// Longer waits are not known well enough to be told.
+constexpr duration MostRetryAfter = 5s;
+/// Refused callers are spread over this part of the wait around its end, so
+/// that they do not return together.
+constexpr double RetrySpread = 0.4;
 
 void logFinished(const traffic_request &Request, std::string_view Result,
                  int Status) {
+  const duration Time = monotonic_clock::now() - Request.Arrived;
+  Request.Shard.Context.Metrics.observe(Result == AnsweredResult
+                                            ? router::request_stage::Answered
+                                            : router::request_stage::Failed,
+                                        Time);
   const std::initializer_list<log_field> Fields = {
       {"request", Request.Caller.Id},
       {"team", Request.teamName()},
@@ -31,7 +47,7 @@
       {"status", Status},
       {"upstream", Request.Call.Instance},
       {"attempts", Request.Attempts},
-      {"duration_us", toMicros(monotonic_clock::now() - Request.Arrived)}};
+      {"duration_us", toMicros(Time)}};
   if (Status != 0 && Status < FirstFailure) {
     logRoutine("request_finished", Fields);
   } else {
@@ -39,6 +55,20 @@
   }
 }
 
+/// Seconds after which the caller of a refused request is to come back.
+std::string retryAfterText(request_error Error, duration Wanted,
+                           std::string_view RequestId) {
+  const duration Usual =
+      Error == request_error::NotServing ? LeaseRetryAfter : UsualRetryAfter;
+  const duration Wait = Wanted == duration::zero()
+                            ? Usual
+                            : std::clamp(Wanted, Usual, MostRetryAfter);
+  constexpr std::uint64_t Steps = 1000;
+  const double Place = static_cast<double>(hash64(RequestId) % Steps) / Steps;
+  return fmt::format("{:.2f}",
+                     toSeconds(Wait) * (1 + RetrySpread * (Place - 0.5)));
+}
+
 /// Headers of the upstream's connection that the server does not drop itself.
 bool isHopHeader(std::string_view Name) {
   static constexpr std::string_view Names[] = {"trailer", "upgrade", "te",
@@ -61,7 +91,8 @@
 }
 
 net::http_response refusalAnswer(request_error Error, run_outcome Outcome,
-                                 std::string_view RequestId) {
+                                 std::string_view RequestId,
+                                 duration RetryAfter) {
   auto Answer = router::errorAnswer(Error, Outcome, RequestId);
   // The caller goes to another router; this one ends soon.
   Answer.Close = Error == request_error::ShuttingDown;
@@ -73,7 +104,8 @@
     return net::sameHeaderName(Header.first, "Retry-After");
   });
   if (Promises && Answer.Status == NotRunStatus) {
-    Answer.Headers.emplace_back("Retry-After", DefaultRetryAfter);
+    Answer.Headers.emplace_back("Retry-After",
+                                retryAfterText(Error, RetryAfter, RequestId));
   }
   return Answer;
 }
@@ -93,7 +125,8 @@
     Request->Exchange->abort();
     return;
   }
-  auto Answer = refusalAnswer(Error, Outcome, Request->Caller.Id);
+  auto Answer =
+      refusalAnswer(Error, Outcome, Request->Caller.Id, Request->RetryAfter);
   // An unknown outcome must not look like a promise.
   if (Outcome == run_outcome::Unknown && Answer.Status == NotRunStatus) {
     Answer.Status = router::statusOf(request_error::UpstreamFailed);
@@ -105,7 +138,7 @@
 void answerTraffic(const traffic_request_ptr &Request) {
   Request->Phase = request_phase::Finished;
   Request->Shard.Context.Metrics.countAnswer();
-  logFinished(*Request, "answered", Request->Call.Status);
+  logFinished(*Request, AnsweredResult, Request->Call.Status);
   if (Request->Exchange->answered()) {
     Request->Exchange->endStream();
     return;
--- a/src/traffic/traffic_end.h
+++ b/src/traffic/traffic_end.h
@@ -9,10 +9,12 @@
 namespace arbutus::traffic {
 
 /// Answer to a request that is refused or has failed. `NotRun` answers have a
-/// status that promises it, and say when to come back.
+/// status that promises it, and say when to come back: after `RetryAfter`, or
+/// after the usual time of such an error if that is 0.
 [[nodiscard]] net::http_response refusalAnswer(router::request_error Error,
                                                router::run_outcome Outcome,
-                                               std::string_view RequestId);
+                                               std::string_view RequestId,
+                                               duration RetryAfter = {});
 
 /// Ends a request with an error, or cuts its answer off if that has begun.
 void failTraffic(const traffic_request_ptr &Request,
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -157,6 +157,8 @@
   auto &Call = Request->Call;
   if (!Call.FirstByte) {
     Call.FirstByte = true;
+    Request->Shard.Context.Metrics.observe(
+        router::request_stage::FirstByte, monotonic_clock::now() - Call.SentAt);
     Request->Shard.Pools.onFirstByte(Request->Id);
   }
   if (Request->isStream() && succeeded(*Request) && answerIsValid(*Request)) {
@@ -240,6 +242,8 @@
   Request->Call.Upstream = Upstream;
   Request->Call.Instance = Instance->Name;
   Request->Call.SentAt = Now;
+  Shard.Context.Metrics.observe(router::request_stage::Waiting,
+                                Now - Request->Arrived);
   logRoutine("route", {{"request", Request->Caller.Id},
                        {"team", Request->teamName()},
                        {"route", Request->Route->Name},
@@ -279,7 +283,8 @@
   Callbacks.OnSend = [Request](upstream_id Upstream) {
     onSlot(Request, Upstream);
   };
-  Callbacks.OnRefused = [Request] {
+  Callbacks.OnRefused = [Request](duration RetryAfter) {
+    Request->RetryAfter = RetryAfter;
     failTraffic(Request, request_error::Overloaded, run_outcome::NotRun);
   };
   Shard.Pools.request(std::move(Wish), std::move(Callbacks));
--- a/src/traffic/traffic_pools.cpp
+++ b/src/traffic/traffic_pools.cpp
@@ -221,7 +221,7 @@
     sendNow(Entry, upstream_id{Reply.Upstream});
     return;
   case slot_decision::Refused:
-    refuse(Reply.Number);
+    refuse(Reply.Number, duration(Reply.RetryAfter));
     return;
   case slot_decision::NotOwner:
     // The two routers have not seen the same change yet.
@@ -238,11 +238,11 @@
   OnSend(Upstream);
 }
 
-void traffic_pools::refuse(std::uint64_t Number) {
+void traffic_pools::refuse(std::uint64_t Number, duration RetryAfter) {
   const auto Taken = Entries.extract(Number);
   --Waiting;
   NumberOfRequest.erase(Taken.mapped().Wish.RequestId);
-  Taken.mapped().Callbacks.OnRefused();
+  Taken.mapped().Callbacks.OnRefused(RetryAfter);
 }
 
 traffic_pools::entry_map::iterator
@@ -382,7 +382,7 @@
   for (const auto Number : Overdue) {
     tell(Entries.at(Number), Number, slot_event_kind::Cancelled,
          call_health::Neutral);
-    refuse(Number);
+    refuse(Number, duration::zero());
   }
 }
 
@@ -392,7 +392,7 @@
       continue;
     }
     for (const auto Number : Pool.expire(Now)) {
-      refuse(Number);
+      refuse(Number, duration::zero());
     }
     for (const auto &Ready : Pool.takeReady(Now)) {
       sendNow(Entries.at(Ready.RequestId), Ready.Upstream);
--- a/src/traffic/traffic_pools.h
+++ b/src/traffic/traffic_pools.h
@@ -37,7 +37,8 @@
 /// `request`.
 struct slot_callbacks {
   std::function<void(upstream_id)> OnSend;
-  std::function<void()> OnRefused;
+  /// With the time after which it is worth to come back; 0 if not known.
+  std::function<void(duration RetryAfter)> OnRefused;
 };
 
 /// A router's access to the upstreams of all services: it asks the owner of a
@@ -103,7 +104,7 @@
   void decideLocally(std::uint64_t Number, entry &Entry);
   void onReply(node_id From, const slot_reply_message &Reply);
   void sendNow(entry &Entry, upstream_id Upstream);
-  void refuse(std::uint64_t Number);
+  void refuse(std::uint64_t Number, duration RetryAfter);
   void tell(const entry &Entry, std::uint64_t Number, slot_event_kind Kind,
             balance::call_health Health);
   void tellHoldings();
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -69,6 +69,8 @@
   std::uint32_t Attempts = 0;
   bool MayHaveRun = false; ///< a call ended without proof that it did not run
   bool CallerGone = false;
+  /// Time after which a refused caller may come back; 0 if not known.
+  duration RetryAfter{};
   std::vector<upstream_id> Excluded;
   instance_call Call;
   /// Events of a stream that have been passed on, over all calls.
--- /dev/null
+++ b/tests/traffic/test_traffic_end.cpp
@@ -0,0 +1,64 @@
+#include "traffic/traffic_end.h"
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::traffic;
+using router::request_error;
+using router::run_outcome;
+
+namespace {
+
+std::string retryAfterOf(const net::http_response &Answer) {
+  return std::string(net::headerOf(Answer.Headers, "Retry-After"));
+}
+
+} // namespace
+
+// Guards against a refusal that sends callers back too early or together, and
+// against one that promises what is not known.
+TEST_CASE("a refusal says when to come back") {
+  struct row {
+    std::string Name;
+    request_error Error;
+    run_outcome Outcome;
+    duration Wait;
+    int Status;
+    double Least; ///< seconds; 0 for no Retry-After
+    double Most;
+  };
+  const std::vector<row> Rows = {
+      {"a queue of known length", request_error::Overloaded,
+       run_outcome::NotRun, 2s, 503, 1.6, 2.4},
+      {"a full upstream", request_error::Overloaded, run_outcome::NotRun, 0s,
+       503, 0.24, 0.36},
+      {"no lease", request_error::NotServing, run_outcome::NotRun, 0s, 503, 0.8,
+       1.2},
+      {"a wait that nobody knows", request_error::Overloaded,
+       run_outcome::NotRun, 600s, 503, 4, 6},
+      {"it may have run", request_error::UpstreamFailed, run_outcome::Unknown,
+       0s, 502, 0, 0},
+      {"a wrong key", request_error::InvalidKey, run_outcome::NotRun, 0s, 401,
+       0, 0},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    std::set<std::string> Seen;
+    for (int Id = 0; Id < 50; ++Id) {
+      const auto Answer = refusalAnswer(
+          Row.Error, Row.Outcome, "request-" + std::to_string(Id), Row.Wait);
+      CHECK(Answer.Status == Row.Status);
+      const std::string Text = retryAfterOf(Answer);
+      REQUIRE(Text.empty() == (Row.Least == 0));
+      if (!Text.empty()) {
+        CHECK(std::stod(Text) >= Row.Least);
+        CHECK(std::stod(Text) <= Row.Most);
+        Seen.insert(Text);
+      }
+    }
+    CHECK((Row.Least == 0 || Seen.size() > 5));
+  }
+}
--- a/tests/traffic/test_traffic_pools.cpp
+++ b/tests/traffic/test_traffic_pools.cpp
@@ -21,22 +21,26 @@
       std::move(Name), Number, 1, revision{Revision}, std::move(Spec)});
 }
 
-/// A view with one plain service of one upstream.
-std::shared_ptr<const store::config_view> makeView() {
+/// A view with one plain service. Its upstreams have the numbers from 5 on and
+/// are in the failure domains "a" and "b" by turns.
+std::shared_ptr<const store::config_view> makeView(std::uint32_t Upstreams) {
   store::fleet_config Config;
   Config.Version = 1;
   Config.Services.emplace_back().Name = "s";
-  store::instance Instance;
-  Instance.Service = "s";
-  Instance.Address = "127.0.0.1:9";
-  Instance.FailureDomain = "a";
-  Instance.Slots = 1;
   store::config_update Update;
   Update.Full = true;
-  Update.Revision = revision{2};
-  Update.ListSize = 2;
-  Update.Objects = {object("fleet", 0, 1, {Config}),
-                    object("i-1", 5, 2, {Instance})};
+  Update.Revision = revision{1 + Upstreams};
+  Update.ListSize = 1 + Upstreams;
+  Update.Objects = {object("fleet", 0, 1, {Config})};
+  for (std::uint32_t I = 0; I < Upstreams; ++I) {
+    store::instance Instance;
+    Instance.Service = "s";
+    Instance.Address = "127.0.0.1:9";
+    Instance.FailureDomain = I % 2 == 0 ? "a" : "b";
+    Instance.Slots = 1;
+    Update.Objects.push_back(
+        object("i-" + std::to_string(100 + I), 5 + I, 2 + I, {Instance}));
+  }
   store::config_replica Replica;
   REQUIRE(Replica.apply(Update).has_value());
   return std::make_shared<const store::config_view>(Replica);
@@ -48,6 +52,9 @@
   for (const node_id Id : Ids) {
     membership::live_node Node;
     Node.Info.Node = Id;
+    Node.Info.FailureDomain = "a";
+    // Cells go to nodes without a disk first.
+    Node.Info.Control = Id == Self;
     Node.Info.TrafficAddress = "127.0.0.1:8";
     Nodes->push_back(Node);
   }
@@ -63,9 +70,10 @@
 /// The pools of one router whose cell another router owns, unless `Nodes` has
 /// only itself.
 struct fixture {
-  explicit fixture(const std::vector<node_id> &Nodes)
+  explicit fixture(const std::vector<node_id> &Nodes,
+                   std::uint32_t Upstreams = 1)
       : Routing(std::make_unique<router::routing_state>(
-            router::routing_state{makeView(), makeNodes(Nodes)})),
+            router::routing_state{makeView(Upstreams), makeNodes(Nodes)})),
         Pools(Io, Routing, Self, 1, 1'000,
               [this](node_id To, net::message_kind Kind,
                      const std::string &Payload) {
@@ -79,7 +87,10 @@
     Wish.SendBy = monotonic_clock::now() + 30s;
     Pools.request(std::move(Wish),
                   {[this](upstream_id Upstream) { Result = number(Upstream); },
-                   [this] { Result = 0; }});
+                   [this](duration Wait) {
+                     Result = 0;
+                     RetryAfter = Wait;
+                   }});
   }
 
   /// Runs the loop until the request is told something.
@@ -105,6 +116,7 @@
   rcu_snapshot<router::routing_state> Routing;
   std::vector<sent_message> Sent;
   std::optional<std::uint32_t> Result;
+  duration RetryAfter{};
   traffic_pools Pools;
 };
 
