--- a/tests/balance/test_local_pool.cpp
+++ b/tests/balance/test_local_pool.cpp
@@ -295,7 +295,8 @@
   std::uint64_t Id = 100;
   instant Now = Start;
   const auto Big = [&] {
-    auto Request = prompt(++Id, 1, {{Id, 5'000}});
+    ++Id;
+    auto Request = prompt(Id, 1, {{Id, 5'000}});
     Request.SendBy = Now + 600ms;
     return Request;
   };
