Carry mesh frames over Asio in place of nng

Change: peer_link writes frames on the sending thread when the connection has room; mesh_listener reads them; frame_stream cuts the bytes into frames.

--- /dev/null
+++ b/src/net/mesh_listener.cpp
@@ -0,0 +1,125 @@
+#include "net/mesh_listener.h"
+
+#include "base/log.h"
+#include <asio/buffer.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <utility>
+
+namespace arbutus::net::impl {
+
+namespace {
+
+/// Bytes that are read at once.
+constexpr std::size_t ReadBytes = std::size_t{64} << 10U;
+/// Pause after a connection could not be accepted, for example for want of
+/// descriptors.
+constexpr auto AcceptPause = std::chrono::milliseconds(50);
+/// A peer that a partition hides leaves its connection open here; probes after
+/// this much silence, every few seconds, find that and free the descriptor.
+constexpr int KeepAliveIdleSeconds = 15;
+constexpr int KeepAliveIntervalSeconds = 5;
+constexpr int KeepAliveProbes = 3;
+
+using keep_idle =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using keep_interval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using keep_probes =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+/// Sets what a connection can do without: a failure only keeps a dead
+/// connection open for longer.
+void probeWhenSilent(asio::ip::tcp::socket &Socket) {
+  asio::error_code Ignored;
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Socket.set_option(keep_idle(KeepAliveIdleSeconds), Ignored);
+  Socket.set_option(keep_interval(KeepAliveIntervalSeconds), Ignored);
+  Socket.set_option(keep_probes(KeepAliveProbes), Ignored);
+}
+
+} // namespace
+
+struct mesh_listener::incoming {
+  explicit incoming(asio::ip::tcp::socket Socket) : Socket(std::move(Socket)) {}
+
+  asio::ip::tcp::socket Socket;
+  frame_stream Stream;
+};
+
+mesh_listener::mesh_listener(asio::io_context &Io,
+                             const asio::ip::tcp::endpoint &At,
+                             frame_function OnFrame,
+                             std::function<void()> OnTooLong)
+    : Acceptor(Io, At), RetryTimer(Io), OnFrame(std::move(OnFrame)),
+      OnTooLong(std::move(OnTooLong)), Buffer(ReadBytes) {
+  accept();
+}
+
+std::string mesh_listener::address() const {
+  const auto At = Acceptor.local_endpoint();
+  return At.address().to_string() + ":" + std::to_string(At.port());
+}
+
+void mesh_listener::accept() {
+  Acceptor.async_accept(
+      [this](const asio::error_code &Error, asio::ip::tcp::socket Socket) {
+        if (Error == asio::error::operation_aborted) {
+          return;
+        }
+        if (Error) {
+          logEvent(log_level::Warning, "mesh_accept_failed",
+                   {{"reason", Error.message()}});
+          acceptLater();
+          return;
+        }
+        onAccepted(std::move(Socket));
+        accept();
+      });
+}
+
+void mesh_listener::acceptLater() {
+  RetryTimer.expires_after(AcceptPause);
+  RetryTimer.async_wait([this](const asio::error_code &Error) {
+    if (!Error) {
+      accept();
+    }
+  });
+}
+
+void mesh_listener::onAccepted(asio::ip::tcp::socket Socket) {
+  asio::error_code Error;
+  Socket.non_blocking(true, Error);
+  if (Error) {
+    logEvent(log_level::Warning, "mesh_accept_failed",
+             {{"reason", Error.message()}});
+    return;
+  }
+  probeWhenSilent(Socket);
+  waitReadable(std::make_shared<incoming>(std::move(Socket)));
+}
+
+void mesh_listener::waitReadable(const std::shared_ptr<incoming> &From) {
+  From->Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                          [this, From](const asio::error_code &Error) {
+                            if (!Error && readSome(*From)) {
+                              waitReadable(From);
+                            }
+                          });
+}
+
+bool mesh_listener::readSome(incoming &From) {
+  asio::error_code Error;
+  const std::size_t Count = From.Socket.read_some(asio::buffer(Buffer), Error);
+  if (Error) {
+    return Error == asio::error::would_block;
+  }
+  if (!feedFrames(From.Stream, {Buffer.data(), Count}, OnFrame)) {
+    OnTooLong();
+    return false;
+  }
+  return true;
+}
+
+} // namespace arbutus::net::impl
--- /dev/null
+++ b/src/net/mesh_listener.h
@@ -0,0 +1,49 @@
+#ifndef ARBUTUS_NET_MESH_LISTENER_H
+#define ARBUTUS_NET_MESH_LISTENER_H
+
+#include "net/frame_stream.h"
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace arbutus::net::impl {
+
+/// Accepts connections of other nodes and reads their frames. Callbacks run on
+/// the thread that runs the io_context.
+class mesh_listener {
+public:
+  /// Starts listening. Throws `std::system_error` when the address cannot be
+  /// used. `OnTooLong` is called when a peer announces a frame beyond the
+  /// limit; its connection is then closed.
+  mesh_listener(asio::io_context &Io, const asio::ip::tcp::endpoint &At,
+                frame_function OnFrame, std::function<void()> OnTooLong);
+
+  /// `ip:port`, with the port that the system chose.
+  [[nodiscard]] std::string address() const;
+
+private:
+  struct incoming;
+
+  void accept();
+  void onAccepted(asio::ip::tcp::socket Socket);
+  void acceptLater();
+  void waitReadable(const std::shared_ptr<incoming> &From);
+  /// False when the connection has ended.
+  [[nodiscard]] bool readSome(incoming &From);
+
+  asio::ip::tcp::acceptor Acceptor;
+  asio::steady_timer RetryTimer;
+  frame_function OnFrame;
+  std::function<void()> OnTooLong;
+  /// Shared by all connections, which are read one at a time.
+  std::vector<char> Buffer;
+};
+
+} // namespace arbutus::net::impl
+
+#endif
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -3,7 +3,9 @@
 
 #include "base/clock.h"
 #include "net/peer_mesh.h"
-#include <nng/nng.h>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <atomic>
 #include <cstddef>
@@ -11,16 +13,15 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace arbutus::net::impl {
 
-/// Calls `nng_msg_free`.
-struct message_deleter {
-  void operator()(nng_msg *Message) const noexcept { nng_msg_free(Message); }
-};
-using message_pointer = std::unique_ptr<nng_msg, message_deleter>;
+/// Parses `ip:port`. Throws `std::runtime_error` with the text if it is not an
+/// address.
+[[nodiscard]] asio::ip::tcp::endpoint meshEndpoint(const std::string &Address);
 
 /// What all links of one mesh share.
 struct link_context {
@@ -34,45 +35,67 @@
   std::atomic<std::uint64_t> Sequence = 0;
 };
 
-/// One PUSH socket with one dialer and a bounded queue in front of it. The
-/// queue is ours because that of nng is bounded in frames, not in bytes.
-class peer_link {
+/// The connection to one peer, which only this node writes to, and a bounded
+/// queue in front of it. A frame is written on the thread that sends it when
+/// the connection takes it at once, which saves a change of threads. Safe from
+/// any thread; a mutex guards the socket, because callbacks run on the thread
+/// of the io_context.
+class peer_link : public std::enable_shared_from_this<peer_link> {
 public:
-  /// Starts dialing. Throws `std::runtime_error` when nng refuses the address
-  /// or has no resources.
-  peer_link(mesh_peer Peer, link_context &Context);
-  ~peer_link();
+  /// Throws `std::runtime_error` if the peer's address is not `ip:port`.
+  peer_link(asio::io_context &Io, mesh_peer Peer, link_context &Context);
   peer_link(const peer_link &) = delete;
   peer_link &operator=(const peer_link &) = delete;
+  ~peer_link() = default;
+
+  /// Starts dialing, and dials again whenever the connection ends.
+  void start();
 
   /// Queues a frame or says that the queue is full. Frames reach the peer in
   /// the order of these calls. May throw `std::bad_alloc`.
   send_outcome send(message_kind Kind, std::string_view Payload);
 
-  /// Replaces the dialer and its connection when frames were sent during the
-  /// last `Silence` without any frame from the peer.
+  /// Replaces the connection when frames were sent during the last `Silence`
+  /// without any frame from the peer.
   void redialIfSilent(instant LastReceived, instant Now, duration Silence);
 
   [[nodiscard]] const mesh_peer &peer() const noexcept { return Peer; }
 
 private:
+  enum class link_state { Waiting, Connecting, Connected };
+  /// Calls `Next` on this link under its mutex, unless the link is gone or has
+  /// dialed again since.
+  template <class Function> auto ifCurrent(Function Next);
+
   void dial();
-  void sendNext();
-  static void onSent(void *Self) noexcept;
+  void onConnected(const asio::error_code &Error);
+  void watchForClose();
+  void writeQueue();
+  void waitWritable();
+  void dropConnection(std::string_view Reason);
+  void dialLater();
 
   const mesh_peer Peer;
+  const asio::ip::tcp::endpoint Endpoint;
   link_context &Context;
-  nng_socket Socket = NNG_SOCKET_INITIALIZER;
-  nng_dialer Dialer = NNG_DIALER_INITIALIZER;
-  nng_aio *Aio = nullptr;
-  instant DialedAt;
+  /// Set by each frame that is sent and cleared by each redial.
   std::atomic<bool> Used = false;
 
   std::mutex Mutex;
-  std::deque<message_pointer> Queue;
+  asio::ip::tcp::socket Socket;
+  asio::steady_timer Timer;
+  link_state State = link_state::Waiting;
+  /// Counts dials, so that callbacks of an older connection do nothing.
+  std::uint64_t Dials = 0;
+  instant DialedAt;
+  /// When an established connection was lost, until there is another.
+  std::optional<instant> LostAt;
+  duration Backoff;
+  bool AwaitingRoom = false;
+  std::deque<std::string> Queue;
   std::size_t QueuedBytes = 0;
-  bool InFlight = false;
-  bool Closed = false;
+  /// Bytes of the first queued frame that the kernel has taken.
+  std::size_t Written = 0;
 };
 
 } // namespace arbutus::net::impl
--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -2,10 +2,10 @@
 
 #include "base/log.h"
 #include "net/mesh_frame.h"
+#include "net/mesh_listener.h"
 #include "net/peer_link.h"
 #include "net/replay_guard.h"
-#include "net/socket_close.h"
-#include <nng/protocol/pipeline0/pull.h>
+#include <asio/steady_timer.hpp>
 
 #include <atomic>
 #include <map>
@@ -18,14 +18,8 @@
 
 namespace {
 
-/// How often the receive thread looks for silent peers.
-constexpr duration RedialCheckPeriod = 500ms;
-/// Bounds the delay of that check, and of the destructor, while no frame
-/// arrives.
-constexpr nng_duration ReceiveWaitMillis = 100;
-/// In a trial, none of 200 sockets that closed under steady traffic hung after
-/// this pause; without it the 37th did.
-constexpr duration SettleTime = 30ms;
+/// How often the mesh looks for silent peers.
+constexpr auto RedialCheckPeriod = std::chrono::milliseconds(500);
 
 struct atomic_kind_counters {
   std::atomic<std::uint64_t> FramesSent = 0;
@@ -43,8 +37,11 @@
   mesh_options Options;
   mesh_receiver Receiver;
   impl::link_context Context;
+  /// Destroyed after everything that uses it.
+  asio::io_context Io{1};
+  std::unique_ptr<impl::mesh_listener> Listener;
+  asio::steady_timer RedialTimer{Io};
   std::string Address;
-  nng_socket Socket = NNG_SOCKET_INITIALIZER;
   std::thread Thread;
   std::atomic<bool> Stopping = false;
 
@@ -55,13 +52,12 @@
   std::shared_mutex Mutex;
   link_map Links;
   std::set<node_id> Cut;
-  /// Serializes `setPeers`, redials and the destructor.
+  /// Serializes changes of `Links`.
   std::mutex PeersMutex;
 
-  /// Used by the receive thread only.
+  /// Used by the mesh's own thread only.
   replay_guard Guard;
   std::unordered_map<node_id, instant> LastReceived;
-  instant LastRedialCheck;
 
   state(mesh_options Given, mesh_receiver Receiver)
       : Options(std::move(Given)), Receiver(std::move(Receiver)) {
@@ -77,73 +73,48 @@
 
   void stop() {
     Stopping = true;
+    Io.stop();
     if (Thread.joinable()) {
       Thread.join();
     }
-    // Links first, so that they do not wait behind a socket that hangs.
+    Listener.reset();
     link_map Old;
     {
       const std::lock_guard PeersLock(PeersMutex);
       const std::unique_lock Lock(Mutex);
       Old.swap(Links);
     }
-    Old.clear();
-    if (nng_socket_id(Socket) > 0) {
-      // With no reader, frames that arrive stop at their connection, where
-      // closing is safe; see `closeSocket`.
-      std::this_thread::sleep_for(SettleTime);
-      impl::closeSocket(Socket);
-      Socket = NNG_SOCKET_INITIALIZER;
-    }
   }
 
   /// Returns an empty text, or why the listener cannot start.
   [[nodiscard]] std::string listen() {
-    int Status = nng_pull0_open(&Socket);
-    nng_listener Listener = NNG_LISTENER_INITIALIZER;
-    const std::string Url = "tcp://" + Options.Listen;
-    if (Status == 0) {
-      Status =
-          nng_socket_set_size(Socket, NNG_OPT_RECVMAXSZ, LongestFrameBytes);
-    }
-    if (Status == 0) {
-      Status = nng_socket_set_ms(Socket, NNG_OPT_RECVTIMEO, ReceiveWaitMillis);
-    }
-    if (Status == 0) {
-      Status = nng_listen(Socket, Url.c_str(), &Listener, 0);
-    }
-    int Port = 0;
-    if (Status == 0) {
-      Status = nng_listener_get_int(Listener, NNG_OPT_TCP_BOUND_PORT, &Port);
+    try {
+      Listener = std::make_unique<impl::mesh_listener>(
+          Io, impl::meshEndpoint(Options.Listen),
+          [this](std::string_view Frame) {
+            onMessage(Frame, monotonic_clock::now());
+          },
+          [this] { count(mesh_drop::Length); });
+      Address = Listener->address();
+    } catch (const std::exception &Error) {
+      return Error.what();
     }
-    if (Status != 0) {
-      return nng_strerror(Status);
-    }
-    Address = Options.Listen.substr(0, Options.Listen.rfind(':') + 1) +
-              std::to_string(Port);
     return {};
   }
 
   void run() {
-    LastRedialCheck = monotonic_clock::now();
-    while (!Stopping) {
-      nng_msg *Received = nullptr;
-      const int Status = nng_recvmsg(Socket, &Received, 0);
-      if (Status == NNG_ECLOSED) {
-        return;
-      }
-      const instant Now = monotonic_clock::now();
-      if (Status == 0) {
-        const impl::message_pointer Message(Received);
-        onMessage({static_cast<const char *>(nng_msg_body(Received)),
-                   nng_msg_len(Received)},
-                  Now);
-      }
-      if (Now - LastRedialCheck >= RedialCheckPeriod) {
-        LastRedialCheck = Now;
-        redialSilentPeers(Now);
+    armRedialCheck();
+    Io.run();
+  }
+
+  void armRedialCheck() {
+    RedialTimer.expires_after(RedialCheckPeriod);
+    RedialTimer.async_wait([this](const asio::error_code &Error) {
+      if (!Error) {
+        redialSilentPeers(monotonic_clock::now());
+        armRedialCheck();
       }
-    }
+    });
   }
 
   void onMessage(std::string_view Bytes, instant Now) {
@@ -173,7 +144,6 @@
   }
 
   void redialSilentPeers(instant Now) {
-    const std::lock_guard PeersLock(PeersMutex);
     link_map Copy;
     {
       const std::shared_lock Lock(Mutex);
@@ -181,15 +151,9 @@
     }
     for (const auto &[Node, Link] : Copy) {
       const auto Last = LastReceived.find(Node);
-      try {
-        Link->redialIfSilent(Last == LastReceived.end() ? instant()
-                                                        : Last->second,
-                             Now, Options.RedialAfter);
-      } catch (const std::exception &Error) {
-        // The link stays without a dialer until the next check.
-        logEvent(log_level::Warning, "mesh_redial_failed",
-                 {{"peer", number(Node)}, {"reason", Error.what()}});
-      }
+      Link->redialIfSilent(Last == LastReceived.end() ? instant()
+                                                      : Last->second,
+                           Now, Options.RedialAfter);
     }
   }
 
@@ -239,8 +203,7 @@
       return;
     }
     link_map Next;
-    // Replaced links close after the lock is released, because closing waits
-    // for a running nng callback.
+    // Replaced links close after the lock is released.
     link_map Old;
     {
       const std::shared_lock Lock(Mutex);
@@ -256,7 +219,9 @@
         continue;
       }
       try {
-        Next[Peer.Node] = std::make_shared<peer_link>(Peer, Context);
+        const auto Link = std::make_shared<peer_link>(Io, Peer, Context);
+        Link->start();
+        Next[Peer.Node] = Link;
       } catch (const std::exception &Error) {
         logEvent(log_level::Error, "mesh_dial_failed",
                  {{"peer", number(Peer.Node)}, {"reason", Error.what()}});
--- a/tests/net/test_peer_mesh.cpp
+++ b/tests/net/test_peer_mesh.cpp
@@ -105,18 +105,15 @@
     }
   }
 
-  /// Waits for the next connection, keeps it open until the test ends and, if
-  /// asked, completes the handshake of an nng PULL socket.
-  [[nodiscard]] bool accepts(bool Handshake = false) {
+  /// Waits for the next connection and keeps it open until the test ends.
+  [[nodiscard]] bool accepts() {
     pollfd Poll{Descriptor, POLLIN, 0};
     if (poll(&Poll, 1, 30000) != 1) {
       return false;
     }
     const int Accepted = accept4(Descriptor, nullptr, nullptr, SOCK_CLOEXEC);
     Connections.push_back(Accepted);
-    const unsigned char Header[] = {0, 'S', 'P', 0, 0, 0x51, 0, 0};
-    return Accepted >= 0 &&
-           (!Handshake || write(Accepted, Header, sizeof(Header)) == 8);
+    return Accepted >= 0;
   }
   [[nodiscard]] std::string address() const {
     return "127.0.0.1:" + std::to_string(Port);
@@ -220,7 +217,7 @@
   Sender.Mesh->setPeers({{node_id{2}, Live.Mesh->address()},
                          {node_id{3}, Stopped.address()},
                          {node_id{4}, DeadAddress}});
-  REQUIRE(Stopped.accepts(true));
+  REQUIRE(Stopped.accepts());
   const std::string Payload(65536, 'x');
   const auto Fill = [&](std::uint32_t Node) {
     return eventually([&] {
@@ -240,20 +237,49 @@
 
 // Guards against a queue that is bounded in frames but not in bytes.
 TEST_CASE("the queue of a peer is bounded in bytes") {
-  const silent_listener Stopped;
+  std::string DeadAddress;
+  {
+    const silent_listener Closing;
+    DeadAddress = Closing.address();
+  }
   test_node Sender(1, 1,
                    [](mesh_options &Options) { Options.QueueBytes = 1000; });
-  Sender.Mesh->setPeers({{node_id{2}, Stopped.address()}});
+  Sender.Mesh->setPeers({{node_id{2}, DeadAddress}});
   const std::string Long(100000, 'x');
-  // One frame waits in nng for the connection, one in the empty queue.
-  CHECK(Sender.Mesh->send(node_id{2}, message_kind::Raft, Long) ==
-        send_outcome::Queued);
+  // An empty queue takes one frame whatever its length.
   CHECK(Sender.Mesh->send(node_id{2}, message_kind::Raft, Long) ==
         send_outcome::Queued);
   CHECK(Sender.Mesh->send(node_id{2}, message_kind::Raft, "x") ==
         send_outcome::QueueFull);
 }
 
+// Guards against a connection whose bytes are not frames of ours: it must end,
+// be counted, and leave other senders alone.
+TEST_CASE("a connection that announces too long a frame is closed") {
+  test_node Receiver(9);
+  const auto &Address = Receiver.Mesh->address();
+  sockaddr_in To{};
+  To.sin_family = AF_INET;
+  To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  To.sin_port = htons(static_cast<std::uint16_t>(
+      std::stoi(Address.substr(Address.rfind(':') + 1))));
+  const int Descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  REQUIRE(connect(Descriptor, reinterpret_cast<sockaddr *>(&To), sizeof(To)) ==
+          0);
+  REQUIRE(write(Descriptor, "\xff\xff\xff\xff", 4) == 4);
+  pollfd Poll{Descriptor, POLLIN, 0};
+  REQUIRE(poll(&Poll, 1, 30000) == 1);
+  char Byte = 0;
+  CHECK(read(Descriptor, &Byte, 1) == 0);
+  close(Descriptor);
+  CHECK(Receiver.drops(mesh_drop::Length) == 1);
+  test_node Sender(1);
+  Sender.dial({{9, &Receiver}});
+  REQUIRE(Sender.Mesh->send(node_id{9}, message_kind::Raft, "x") ==
+          send_outcome::Queued);
+  CHECK(eventually([&] { return Receiver.count() == 1; }));
+}
+
 // Guards against a cut that lets frames through in one direction, that stays
 // after it is lifted, or that a production process accepts.
 TEST_CASE("setCut drops frames in both directions until it is lifted") {
