Take every waiting connection and refuse what a flooded router cannot do

A fault beside it, found by a test that fails first: after four failed accepts, for example for want of descriptors, that acceptor never accepts again.

Change: connection_acceptor empties the kernel's queue in a turn and goes on after errors; it serves the mesh too. connection_budget limits the rate of new connections by the lag of the loop; the others get 503 with Retry-After before they are read.

--- a/src/control/gateway.cpp
+++ b/src/control/gateway.cpp
@@ -18,6 +18,11 @@
 /// idle ones are given up.
 constexpr std::size_t DescriptorsPerConnection = 4;
 
+/// A request passes the event loop some ten times before its answer begins, so
+/// that a later loop would use up an objective of 300 ms alone.
+constexpr duration LongestLag = 30ms;
+constexpr duration NoLimit = duration::zero();
+
 /// Part of the retry slack that is used. The rest covers routers that do not
 /// agree on how many they are.
 constexpr double UsedRetrySlack = 2.0 / 3;
@@ -47,18 +52,20 @@
     : Settings(Settings), Adapter(Adapter), Context(Context), Hooks(Hooks),
       Shard(Shard), Traffic(Context, Shard, Adapter.Codec,
                             retryLimits(Settings.Gateway), std::move(Send)) {
-  listen(Settings.Gateway.Requests, [this](const exchange_ptr &Exchange) {
-    traffic::handleTraffic(Traffic, Exchange);
-  });
-  listen(Settings.Gateway.Health,
+  listen(Settings.Gateway.Requests, LongestLag,
+         [this](const exchange_ptr &Exchange) {
+           traffic::handleTraffic(Traffic, Exchange);
+         });
+  listen(Settings.Gateway.Health, NoLimit,
          [this](const exchange_ptr &Exchange) { answerHealth(Exchange); });
-  listen(Settings.Gateway.Addresses,
+  listen(Settings.Gateway.Addresses, NoLimit,
          [this](const exchange_ptr &Exchange) { answerAddresses(Exchange); });
-  listen(Settings.Gateway.Operators,
+  listen(Settings.Gateway.Operators, NoLimit,
          [this](const exchange_ptr &Exchange) { takeOrder(Exchange); });
 }
 
-void gateway::listen(const settings::endpoint &At, net::http_handler Handler) {
+void gateway::listen(const settings::endpoint &At, duration ShedAbove,
+                     net::http_handler Handler) {
   if (At.empty()) {
     return;
   }
@@ -68,6 +75,7 @@
   Options.HardBodyBytes = HardBodyBytes;
   Options.HardHeaderBytes = HardHeaderBytes;
   Options.CloseAbove = Settings.Limits.Descriptors / DescriptorsPerConnection;
+  Options.ShedAbove = ShedAbove;
   Servers.push_back(std::make_unique<net::http_server>(Shard.Io, Options,
                                                        std::move(Handler)));
 }
--- a/src/control/gateway.h
+++ b/src/control/gateway.h
@@ -35,7 +35,8 @@
 private:
   using exchange_ptr = std::shared_ptr<net::http_exchange>;
 
-  void listen(const settings::endpoint &At, net::http_handler Handler);
+  void listen(const settings::endpoint &At, duration ShedAbove,
+              net::http_handler Handler);
   void answerHealth(const exchange_ptr &Exchange);
   void answerAddresses(const exchange_ptr &Exchange);
   void takeOrder(const exchange_ptr &Exchange);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,7 +1,11 @@
 #include "net/http_server.h"
 
+#include "base/log.h"
+#include "net/connection_acceptor.h"
+#include "net/connection_budget.h"
+#include "net/loop_lag.h"
+#include <fmt/format.h>
 #include <restinio/all.hpp>
-#include <sys/socket.h>
 
 #include <optional>
 #include <unordered_map>
@@ -47,7 +51,6 @@
       restinio::request_handle_t)>;
 };
 
-using restinio_server = restinio::http_server_t<server_traits>;
 using chunked_builder =
     restinio::response_builder_t<restinio::chunked_output_t>;
 
@@ -250,60 +253,160 @@
   return restinio::request_accepted();
 }
 
+/// Answers may take as long as a stream runs; the request's own deadline, not
+/// the server's timers, ends them.
+constexpr auto LongestAnswer = std::chrono::hours(1);
+constexpr auto IdleConnection = std::chrono::minutes(2);
+/// Header fields of one request.
+constexpr std::size_t MostFields = 200;
+
+restinio::server_settings_t<server_traits>
+restinioSettings(const http_server_options &Options, open_exchanges &Open,
+                 http_handler Handler) {
+  restinio::server_settings_t<server_traits> Settings;
+  Settings
+      .max_pipelined_requests(2) // reading on shows a disconnect
+      .handle_request_timeout(LongestAnswer)
+      .write_http_response_timelimit(LongestAnswer)
+      .read_next_http_message_timelimit(IdleConnection)
+      .incoming_http_msg_limits(
+          restinio::incoming_http_msg_limits_t{}
+              .max_body_size(Options.HardBodyBytes)
+              .max_url_size(Options.HardHeaderBytes)
+              .max_field_name_size(Options.HardHeaderBytes)
+              .max_field_value_size(Options.HardHeaderBytes)
+              .max_field_count(MostFields))
+      .socket_options_setter([](auto &Socket) {
+        Socket.set_option(asio::ip::tcp::no_delay(true));
+      })
+      .connection_state_listener(std::make_shared<close_listener>(Open))
+      .request_handler([&Open, Handler = std::move(Handler)](auto Request) {
+        return handle(Open, Handler, std::move(Request));
+      });
+  return Settings;
+}
+
+/// RESTinio's connections without its own acceptor, which takes four
+/// connections in a turn of the loop and none ever again after four errors.
+class connection_source {
+public:
+  using factory = restinio::impl::connection_factory_t<server_traits>;
+  using connection_settings =
+      restinio::impl::connection_settings_t<server_traits>;
+  using methods = server_traits::http_methods_mapper_t;
+
+  connection_source(asio::io_context &Io,
+                    restinio::server_settings_t<server_traits> Settings)
+      : Timers(Settings.timer_factory()->create(Io)),
+        Factory(std::make_shared<connection_settings>(
+                    std::move(Settings),
+                    restinio::impl::create_parser_settings<methods>(), Timers),
+                Settings.socket_options_setter()) {
+    Timers->start();
+  }
+  connection_source(const connection_source &) = delete;
+  connection_source &operator=(const connection_source &) = delete;
+  ~connection_source() { Timers->stop(); }
+
+  /// Reads requests from a new connection. Throws when it is gone already.
+  void add(asio::ip::tcp::socket Socket) {
+    auto Remote = Socket.remote_endpoint();
+    Factory
+        .create_new_connection(std::move(Socket), std::move(Remote),
+                               factory::lifetime_monitor_t(&Unlimited))
+        ->init();
+  }
+
+private:
+  /// RESTinio's connections tell this when they begin and end; it does nothing.
+  struct no_acceptor final
+      : restinio::connection_count_limits::impl::acceptor_callback_iface_t {
+    // Names set by RESTinio.
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void call_accept_now(std::size_t) noexcept override {}
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void schedule_next_accept_attempt(std::size_t) noexcept override {}
+  };
+
+  using no_limit =
+      restinio::connection_count_limits::noop_connection_count_limiter_t;
+
+  no_acceptor None;
+  no_limit Unlimited{
+      &None, restinio::connection_count_limits::max_parallel_connections_t{0},
+      restinio::connection_count_limits::max_active_accepts_t{0}};
+  std::shared_ptr<restinio::asio_timer_manager_t> Timers;
+  factory Factory;
+};
+
+/// Answer to a caller whose request is not read. Callers are told to return
+/// over a time that spreads them.
+std::string shedAnswer(std::uint64_t Number) {
+  constexpr double LeastSeconds = 0.5;
+  constexpr double SpreadSeconds = 1;
+  constexpr std::uint64_t Steps = 16;
+  const double Place = static_cast<double>(Number % Steps) / Steps;
+  return fmt::format("HTTP/1.1 503 Overloaded\r\nRetry-After: {:.2f}\r\n"
+                     "Connection: close\r\nContent-Length: 0\r\n\r\n",
+                     LeastSeconds + SpreadSeconds * Place);
+}
+
 } // namespace
 
 struct http_server::state {
+  state(asio::io_context &Io, const http_server_options &Options,
+        http_handler Handler)
+      : Connections(Io, restinioSettings(Options, Open, std::move(Handler))),
+        Lag(Io), Budget(Options.ShedAbove),
+        Acceptor(
+            Io, {asio::ip::make_address(Options.Address), Options.Port}, true,
+            [this](asio::ip::tcp::socket Socket) { add(std::move(Socket)); },
+            Options.ShedAbove == duration::zero()
+                ? connection_acceptor::admit_function()
+                : [this] { return admit(); }) {
+    Open.CloseAbove = Options.CloseAbove;
+  }
+
+  void add(asio::ip::tcp::socket Socket) {
+    try {
+      Connections.add(std::move(Socket));
+    } catch (const std::exception &Error) {
+      logEvent(log_level::Debug, "connection_lost", {{"reason", Error.what()}});
+    }
+  }
+
+  /// Empty to take a connection, else the answer that refuses it. Logs when
+  /// refusing begins and ends.
+  std::optional<std::string> admit() {
+    const instant Now = monotonic_clock::now();
+    const duration Late = Lag.measure(Now);
+    const bool Before = Budget.limited();
+    const bool Admitted = Budget.admit(Now, Late);
+    if (Budget.limited() != Before) {
+      logEvent(log_level::Warning, Before ? "shedding_ended" : "shedding",
+               {{"loop_lag_us", toMicros(Late)},
+                {"connections", Open.Connections},
+                {"rate", Budget.rate()},
+                {"shed", Budget.refused()}});
+    }
+    return Admitted ? std::nullopt
+                    : std::optional(shedAnswer(Budget.refused()));
+  }
+
   open_exchanges Open;
-  std::unique_ptr<restinio_server> Server;
+  connection_source Connections;
+  loop_lag Lag;
+  connection_budget Budget;
+  connection_acceptor Acceptor;
 };
 
 http_server::http_server(asio::io_context &Io,
                          const http_server_options &Options,
                          http_handler Handler)
-    : State(std::make_unique<state>()) {
-  using namespace std::chrono_literals;
-  State->Open.CloseAbove = Options.CloseAbove;
-  // Answers may take as long as a stream runs; the request's own deadline, not
-  // the server's timers, ends them.
-  static constexpr auto LongestAnswer = 1h;
-  static constexpr auto IdleConnection = 2min;
-  using reuse_port =
-      asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-  State->Server = std::make_unique<restinio_server>(
-      restinio::external_io_context(Io), [&](auto &Settings) {
-        Settings.address(Options.Address)
-            .port(Options.Port)
-            .max_pipelined_requests(2) // reading on shows a disconnect
-            .handle_request_timeout(LongestAnswer)
-            .write_http_response_timelimit(LongestAnswer)
-            .read_next_http_message_timelimit(IdleConnection)
-            .concurrent_accepts_count(4)
-            .incoming_http_msg_limits(
-                restinio::incoming_http_msg_limits_t{}
-                    .max_body_size(Options.HardBodyBytes)
-                    .max_url_size(Options.HardHeaderBytes)
-                    .max_field_name_size(Options.HardHeaderBytes)
-                    .max_field_value_size(Options.HardHeaderBytes)
-                    .max_field_count(200))
-            .acceptor_options_setter([](auto &Acceptor) {
-              Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-              Acceptor.set_option(reuse_port(true));
-            })
-            .socket_options_setter([](auto &Socket) {
-              Socket.set_option(asio::ip::tcp::no_delay(true));
-            })
-            .connection_state_listener(
-                std::make_shared<close_listener>(State->Open))
-            .request_handler([&Open = State->Open,
-                              Handler = std::move(Handler)](auto Request) {
-              return handle(Open, Handler, std::move(Request));
-            });
-      });
-  State->Server->open_sync();
-}
+    : State(std::make_unique<state>(Io, Options, std::move(Handler))) {}
 
 http_server::~http_server() = default;
 
-void http_server::stopAccepting() { State->Server->close_sync(); }
+void http_server::stopAccepting() { State->Acceptor.close(); }
 
 } // namespace arbutus::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_NET_HTTP_SERVER_H
 #define ARBUTUS_NET_HTTP_SERVER_H
 
+#include "base/clock.h"
 #include "net/http_exchange.h"
 #include <asio/io_context.hpp>
 
@@ -22,6 +23,10 @@
   /// With more open connections than this, each is closed after its answer, so
   /// that idle callers do not keep others out; 0 for no limit.
   std::size_t CloseAbove = 0;
+  /// While the event loop is later than this, some new connections get 503
+  /// with Retry-After, unread, so that the requests that have been read are
+  /// still answered in time; 0 to take all.
+  duration ShedAbove = duration::zero();
 };
 
 using http_handler = std::function<void(std::shared_ptr<http_exchange>)>;
--- a/src/net/mesh_listener.cpp
+++ b/src/net/mesh_listener.cpp
@@ -13,9 +13,6 @@
 
 /// Bytes that are read at once.
 constexpr std::size_t ReadBytes = std::size_t{64} << 10U;
-/// Pause after a connection could not be accepted, for example for want of
-/// descriptors.
-constexpr auto AcceptPause = std::chrono::milliseconds(50);
 /// A peer that a partition hides leaves its connection open here; probes after
 /// this much silence, every few seconds, find that and free the descriptor.
 constexpr int KeepAliveIdleSeconds = 15;
@@ -52,47 +49,23 @@
                              const asio::ip::tcp::endpoint &At,
                              frame_function OnFrame,
                              std::function<void()> OnTooLong)
-    : Acceptor(Io, At), RetryTimer(Io), OnFrame(std::move(OnFrame)),
-      OnTooLong(std::move(OnTooLong)), Buffer(ReadBytes) {
-  accept();
-}
+    : Acceptor(Io, At, false,
+               [this](asio::ip::tcp::socket Socket) {
+                 onAccepted(std::move(Socket));
+               }),
+      OnFrame(std::move(OnFrame)), OnTooLong(std::move(OnTooLong)),
+      Buffer(ReadBytes) {}
 
 std::string mesh_listener::address() const {
-  const auto At = Acceptor.local_endpoint();
+  const auto At = Acceptor.endpoint();
   return At.address().to_string() + ":" + std::to_string(At.port());
 }
 
-void mesh_listener::accept() {
-  Acceptor.async_accept(
-      [this](const asio::error_code &Error, asio::ip::tcp::socket Socket) {
-        if (Error == asio::error::operation_aborted) {
-          return;
-        }
-        if (Error) {
-          logEvent(log_level::Warning, "mesh_accept_failed",
-                   {{"reason", Error.message()}});
-          acceptLater();
-          return;
-        }
-        onAccepted(std::move(Socket));
-        accept();
-      });
-}
-
-void mesh_listener::acceptLater() {
-  RetryTimer.expires_after(AcceptPause);
-  RetryTimer.async_wait([this](const asio::error_code &Error) {
-    if (!Error) {
-      accept();
-    }
-  });
-}
-
 void mesh_listener::onAccepted(asio::ip::tcp::socket Socket) {
   asio::error_code Error;
   Socket.non_blocking(true, Error);
   if (Error) {
-    logEvent(log_level::Warning, "mesh_accept_failed",
+    logEvent(log_level::Warning, "accept_failed",
              {{"reason", Error.message()}});
     return;
   }
--- a/src/net/mesh_listener.h
+++ b/src/net/mesh_listener.h
@@ -1,10 +1,8 @@
 #ifndef ARBUTUS_NET_MESH_LISTENER_H
 #define ARBUTUS_NET_MESH_LISTENER_H
 
+#include "net/connection_acceptor.h"
 #include "net/frame_stream.h"
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -29,15 +27,12 @@
 private:
   struct incoming;
 
-  void accept();
   void onAccepted(asio::ip::tcp::socket Socket);
-  void acceptLater();
   void waitReadable(const std::shared_ptr<incoming> &From);
   /// False when the connection has ended.
   [[nodiscard]] bool readSome(incoming &From);
 
-  asio::ip::tcp::acceptor Acceptor;
-  asio::steady_timer RetryTimer;
+  connection_acceptor Acceptor;
   frame_function OnFrame;
   std::function<void()> OnTooLong;
   /// Shared by all connections, which are read one at a time.
--- /dev/null
+++ b/tests/net/test_http_server.cpp
@@ -0,0 +1,212 @@
+#include "net/http_server.h"
+#include <arpa/inet.h>
+#include <asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace arbutus::net;
+
+namespace {
+
+/// A port that was free a moment ago.
+std::uint16_t freePort() {
+  const int Descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Length = sizeof(Address);
+  REQUIRE(bind(Descriptor, reinterpret_cast<sockaddr *>(&Address), Length) ==
+          0);
+  REQUIRE(getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address),
+                      &Length) == 0);
+  close(Descriptor);
+  return ntohs(Address.sin_port);
+}
+
+int connectTo(std::uint16_t Port) {
+  sockaddr_in To{};
+  To.sin_family = AF_INET;
+  To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  To.sin_port = htons(Port);
+  const int Descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  REQUIRE(Descriptor >= 0);
+  REQUIRE(connect(Descriptor, reinterpret_cast<sockaddr *>(&To), sizeof(To)) ==
+          0);
+  return Descriptor;
+}
+
+/// Runs the event loop until the connection gets bytes or ends; false after a
+/// deadline that only a broken build reaches.
+bool answered(asio::io_context &Io, int Descriptor,
+              std::string *Answer = nullptr) {
+  const auto Deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (std::chrono::steady_clock::now() < Deadline) {
+    Io.run_for(std::chrono::milliseconds(5));
+    pollfd Poll{Descriptor, POLLIN, 0};
+    if (poll(&Poll, 1, 0) == 1) {
+      std::array<char, 512> Bytes{};
+      const auto Count = read(Descriptor, Bytes.data(), Bytes.size());
+      if (Answer != nullptr && Count > 0) {
+        Answer->assign(Bytes.data(), static_cast<std::size_t>(Count));
+      }
+      return Count > 0;
+    }
+  }
+  return false;
+}
+
+void ask(int Descriptor) {
+  const std::string_view Request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  REQUIRE(write(Descriptor, Request.data(), Request.size()) ==
+          static_cast<ssize_t>(Request.size()));
+}
+
+http_server_options optionsFor(std::uint16_t Port) {
+  http_server_options Options;
+  Options.Address = "127.0.0.1";
+  Options.Port = Port;
+  Options.HardBodyBytes = 1U << 20U;
+  Options.HardHeaderBytes = 1U << 14U;
+  return Options;
+}
+
+void answerOk(const std::shared_ptr<http_exchange> &Exchange) {
+  Exchange->respond({200, {}, "ok"});
+}
+
+/// Lowers the limit on descriptors while it lives.
+struct descriptor_limit {
+  descriptor_limit() { getrlimit(RLIMIT_NOFILE, &Usual); }
+  descriptor_limit(const descriptor_limit &) = delete;
+  descriptor_limit &operator=(const descriptor_limit &) = delete;
+  ~descriptor_limit() { set(Usual.rlim_cur); }
+
+  void set(rlim_t Count) const {
+    const rlimit Limit{Count, Usual.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &Limit);
+  }
+
+  rlimit Usual{};
+};
+
+} // namespace
+
+// Guards against a server that stops accepting for good when a connection
+// could not be accepted for want of descriptors, as a flooded router does.
+TEST_CASE("a server accepts again after descriptors ran out") {
+  asio::io_context Io;
+  const auto Port = freePort();
+  http_server Server(Io, optionsFor(Port), answerOk);
+  const int First = connectTo(Port);
+  ask(First);
+  REQUIRE(answered(Io, First));
+  std::vector<int> Waiting(16);
+  for (int &Descriptor : Waiting) {
+    Descriptor = connectTo(Port);
+  }
+  {
+    const descriptor_limit Limit;
+    // The connections wait in the kernel, and no descriptor is left for them.
+    Limit.set(static_cast<rlim_t>(Waiting.back()) + 1);
+    Io.run_for(std::chrono::milliseconds(300));
+  }
+  for (const int Descriptor : Waiting) {
+    close(Descriptor);
+  }
+  const int Last = connectTo(Port);
+  ask(Last);
+  CHECK(answered(Io, Last));
+  close(First);
+  close(Last);
+}
+
+// Guards against a burst of new connections that waits in the kernel while a
+// busy loop takes a few in each turn: callers give up before they are heard.
+TEST_CASE("a burst of connections is accepted within a few turns of the loop") {
+  constexpr std::size_t Burst = 256;
+  constexpr std::size_t MostTurns = 16;
+  asio::io_context Io;
+  const auto Port = freePort();
+  std::size_t Answers = 0;
+  http_server Server(Io, optionsFor(Port), [&](const auto &Exchange) {
+    ++Answers;
+    answerOk(Exchange);
+  });
+  std::vector<int> Callers;
+  for (std::size_t I = 0; I < Burst; ++I) {
+    Callers.push_back(connectTo(Port));
+    ask(Callers.back());
+  }
+  // Each turn of the loop runs this once.
+  std::size_t Turns = 0;
+  std::function<void()> CountTurn = [&] {
+    ++Turns;
+    if (Answers < Burst && Turns < 100 * MostTurns) {
+      asio::post(Io, CountTurn);
+    }
+  };
+  asio::post(Io, CountTurn);
+  while (Answers < Burst && Turns < 100 * MostTurns) {
+    Io.run_one();
+  }
+  CHECK(Answers == Burst);
+  CHECK(Turns <= MostTurns);
+  for (const int Descriptor : Callers) {
+    close(Descriptor);
+  }
+}
+
+// Guards against a flooded router that reads what it cannot answer in time:
+// while its loop is late, some new connections are refused at once.
+TEST_CASE("new connections are shed while the loop is late") {
+  struct row {
+    std::chrono::milliseconds Turn;
+    bool Sheds;
+  };
+  for (const auto &Row : {row{std::chrono::milliseconds(0), false},
+                          row{std::chrono::milliseconds(60), true}}) {
+    CAPTURE(Row.Turn.count());
+    asio::io_context Io;
+    auto Options = optionsFor(freePort());
+    Options.ShedAbove = std::chrono::milliseconds(30);
+    http_server Server(Io, Options, answerOk);
+    bool Busy = true;
+    std::function<void()> Turn = [&] {
+      std::this_thread::sleep_for(Row.Turn);
+      if (Busy) {
+        asio::post(Io, Turn);
+      }
+    };
+    asio::post(Io, Turn);
+    std::vector<int> Callers;
+    for (int I = 0; I < 20; ++I) {
+      for (int J = 0; J < 4; ++J) {
+        Callers.push_back(connectTo(Options.Port));
+        ask(Callers.back());
+      }
+      Io.run_for(std::chrono::milliseconds(20));
+    }
+    std::size_t Refused = 0;
+    for (const int Descriptor : Callers) {
+      std::string Answer;
+      CHECK(answered(Io, Descriptor, &Answer));
+      if (Answer.starts_with("HTTP/1.1 503")) {
+        ++Refused;
+        CHECK(Answer.find("Retry-After: ") != std::string::npos);
+      }
+      close(Descriptor);
+    }
+    CHECK((Refused > 0) == Row.Sheds);
+    CHECK(Refused < Callers.size());
+    Busy = false;
+  }
+}
