Explain a request from the logs of several VMs

Change: `arbutustack explain ID LOG...` gathers the lines of a request, the VMs by their first line and each VM's lines as written, says them in words, adds what the VM lost, regained or came to believe from a second before to a second after, and counts cut lines. Ruled out: ordering by time over VMs, since their clocks differ by seconds.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -1,10 +1,12 @@
 #include "cli/cli.h"
 
 #include "cli/command_line.h"
+#include "cli/explain.h"
 #include "cli/operator_command.h"
 #include "settings/key_file.h"
 
 #include <chrono>
+#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -51,6 +53,27 @@
   return status(runOperatorCommand(Command, Client, {std::cout, std::cerr}));
 }
 
+int runExplain(const command &Command) {
+  std::vector<std::ifstream> Files;
+  std::vector<std::istream *> Logs;
+  Files.reserve(Command.LogFiles.size());
+  for (const auto &Name : Command.LogFiles) {
+    if (Name == "-") {
+      Logs.push_back(&std::cin);
+      continue;
+    }
+    Files.emplace_back(Name);
+    if (!Files.back()) {
+      std::cerr << "arbutustack: cannot read " << Name << "\n";
+      return status(exit_code::Invalid);
+    }
+    Logs.push_back(&Files.back());
+  }
+  const auto Story = gatherStory(Logs, Command.RequestId);
+  printStory(Story, Command.RequestId, std::cout);
+  return status(Story.Lines.empty() ? exit_code::Refused : exit_code::Ok);
+}
+
 } // namespace
 
 int run(int Argc, const char *const *Argv, const settings_function &Serve,
@@ -74,6 +97,8 @@
   case command_kind::Serve:
   case command_kind::Check:
     return runWithSettings(Command, Serve, Initialize);
+  case command_kind::Explain:
+    return runExplain(Command);
   default:
     return runOperator(Command);
   }
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -24,8 +24,13 @@
   arbutustack drain (domain|upstream|node) NAME [options] [--server=ADDRESS]...
   arbutustack restore (domain|upstream|node) NAME [options] [--server=ADDRESS]...
   arbutustack status [options] [--server=ADDRESS]...
+  arbutustack explain ID LOG...
   arbutustack --help
 
+Logs:
+  LOG                  Log files of one or more VMs; - for standard input.
+  ID                   A request's id, which the caller chose.
+
 Options:
   --operator-key-file=FILE  File with the operator key, mode 0600 or 0400.
   --output=FORMAT           json or table [default: table].
@@ -64,19 +69,24 @@
              : std::string();
 }
 
+std::vector<std::string> listOf(const arguments &Parsed,
+                                const std::string &Key) {
+  const auto Found = Parsed.find(Key);
+  return Found != Parsed.end() && Found->second.isStringList()
+             ? Found->second.asStringList()
+             : std::vector<std::string>();
+}
+
 std::vector<std::string> serversOf(const arguments &Parsed) {
   std::vector<std::string> Servers;
-  const auto Found = Parsed.find("--server");
-  if (Found != Parsed.end() && Found->second.isStringList()) {
-    for (const auto &Given : Found->second.asStringList()) {
-      std::size_t Start = 0;
-      while (Start <= Given.size()) {
-        const auto Comma = std::min(Given.find(',', Start), Given.size());
-        if (Comma > Start) {
-          Servers.push_back(Given.substr(Start, Comma - Start));
-        }
-        Start = Comma + 1;
+  for (const auto &Given : listOf(Parsed, "--server")) {
+    std::size_t Start = 0;
+    while (Start <= Given.size()) {
+      const auto Comma = std::min(Given.find(',', Start), Given.size());
+      if (Comma > Start) {
+        Servers.push_back(Given.substr(Start, Comma - Start));
       }
+      Start = Comma + 1;
     }
   }
   if (Servers.empty()) {
@@ -105,6 +115,7 @@
     {"apply", command_kind::Apply},     {"delete", command_kind::Delete},
     {"watch", command_kind::Watch},     {"drain", command_kind::Drain},
     {"restore", command_kind::Restore}, {"status", command_kind::Status},
+    {"explain", command_kind::Explain},
 };
 
 struct target_name {
@@ -131,6 +142,8 @@
   const auto Config = textOf(Parsed, "--config");
   Command.File = Config.empty() ? textOf(Parsed, "FILE") : Config;
   Command.Servers = serversOf(Parsed);
+  Command.RequestId = textOf(Parsed, "ID");
+  Command.LogFiles = listOf(Parsed, "LOG");
   Command.OperatorKeyFile = textOf(Parsed, "--operator-key-file");
   const auto Output = textOf(Parsed, "--output");
   if (Output == "json") {
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -23,6 +23,7 @@
   Drain,
   Restore,
   Status,
+  Explain,
 };
 
 enum class output_format { Table, Json };
@@ -45,6 +46,9 @@
   /// `ip:port` or `host:port`, in the order in which they are tried.
   std::vector<std::string> Servers;
   std::string OperatorKeyFile;
+  /// Request and logs of `explain`.
+  std::string RequestId;
+  std::vector<std::string> LogFiles;
   output_format Output = output_format::Table;
 };
 
--- a/tests/cli/test_command_line.cpp
+++ b/tests/cli/test_command_line.cpp
@@ -24,6 +24,12 @@
   const std::vector<row> Rows = {
       {{"--help"}, command_kind::Help, "", "", "", {}},
       {{"--version"}, command_kind::Version, "", "", "", {}},
+      {{"explain", "8f65", "a.log", "b.log"},
+       command_kind::Explain,
+       "",
+       "",
+       "",
+       Default},
       {{"serve", "--config", "a.toml"},
        command_kind::Serve,
        "",
