Keep at most 256 connections waiting in the kernel

Ruled out: routers that do not shed (they log shedding in the first second). Change: a backlog of 256 connections; beyond it the caller notices at once that it has no connection. Test: the burst test still takes 256 connections at once.

--- a/src/net/connection_acceptor.cpp
+++ b/src/net/connection_acceptor.cpp
@@ -12,6 +12,9 @@
 
 /// Connections that are taken before other events have their turn.
 constexpr int MostPerTurn = 256;
+/// Connections that may wait in the kernel. With more, those at the end of a
+/// long queue are taken after their callers have left.
+constexpr int Backlog = 256;
 /// Pause after a connection could not be accepted, for example for want of
 /// descriptors.
 constexpr auto ErrorPause = std::chrono::milliseconds(20);
@@ -37,7 +40,7 @@
   Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
   Acceptor.set_option(reuse_port(ReusePort));
   Acceptor.bind(At);
-  Acceptor.listen();
+  Acceptor.listen(Backlog);
   Acceptor.non_blocking(true);
   waitForConnections();
 }
