Use a plain upstream with room though it failed a little more often

A pool took the upstream with the best score and waited if that was full; the score adds 12 requests a slot for the share of failed calls, and a seventh of the lookups fails by itself, so that a short run of failures left a worker idle: after one failure in ten it got 5 of 12 calls, after three none, while 7 and 12 waited. Change: a plain upstream with room goes before one without, as long as under 35 % of its late calls failed. Engines still wait for a cached prompt. Test: two upstreams with 0, 1, 3 and 9 failures of ten; failed before for 1, 3.

--- a/src/balance/local_pool.cpp
+++ b/src/balance/local_pool.cpp
@@ -25,6 +25,9 @@
 constexpr double FailureCostTokens = 20'000;
 /// Load of a plain upstream whose requests all fail, in requests.
 constexpr double FailureCostRequests = 12;
+/// Failure rate of a plain upstream from which on a request rather waits for a
+/// better one that is full. Below it, failures are those of the requests.
+constexpr double TolerableFailureRate = 0.35;
 /// Share of the newest result in the failure rate.
 constexpr double FailureWeight = 0.1;
 /// Time without requests after the first failed connection; it doubles with
@@ -322,6 +325,13 @@
 std::optional<upstream_id> local_pool::choose(const queued_request &Request,
                                               instant Now) const {
   const auto Fewest = fewestMissing(Request);
+  // Capacity must not stand idle while a plain call waits for a full upstream
+  // that failed a little less often.
+  const auto IsIdleCapacity = [&](const upstream_load &Load) {
+    return !Load.Facts.Model && Load.FailureRate < TolerableFailureRate &&
+           hasRoom(Load, Sharers, Now);
+  };
+  bool BestIsIdle = false;
   const upstream_load *Best = nullptr;
   double BestScore = 0;
   std::uint64_t BestRank = 0;
@@ -332,10 +342,15 @@
     if (Excluded || !accepts(Load, Now)) {
       continue;
     }
+    const bool Idle = IsIdleCapacity(Load);
+    if (Best != nullptr && BestIsIdle && !Idle) {
+      continue;
+    }
     const double Score = scoreOf(Request, Load, Fewest, Now);
     const auto Rank = rankOf(Request, Load.Facts.Name, Seed);
-    if (Best == nullptr || Score < BestScore ||
+    if (Best == nullptr || Idle != BestIsIdle || Score < BestScore ||
         (Score == BestScore && Rank > BestRank)) {
+      BestIsIdle = Idle;
       Best = &Load;
       BestScore = Score;
       BestRank = Rank;
--- a/tests/balance/test_local_pool.cpp
+++ b/tests/balance/test_local_pool.cpp
@@ -324,3 +324,34 @@
   Late.SendBy = Now + 200ms;
   CHECK_FALSE(Pool.canServeInTime(Late, Now));
 }
+
+// Guards against a plain upstream that stands idle while calls wait for one
+// that failed a little less often, and against one that fails most calls and
+// gets them all the same.
+TEST_CASE("calls do not wait beside an upstream with room") {
+  struct row {
+    int Failures; ///< of the last ten calls of the second upstream
+    bool Used;
+  };
+  for (const auto &Row :
+       {row{0, true}, row{1, true}, row{3, true}, row{9, false}}) {
+    CAPTURE(Row.Failures);
+    local_pool Pool(1);
+    Pool.setUpstreams({plain(2, 6)}, Start);
+    std::uint64_t Id = 0;
+    for (int I = 0; I < 10; ++I) {
+      REQUIRE(numberOf(Pool.enqueue(call(++Id), Start)) == 2);
+      Pool.complete(
+          Id, I < 10 - Row.Failures ? call_health::Good : call_health::Failed,
+          Start);
+    }
+    Pool.setUpstreams({plain(1, 6), plain(2, 6)}, Start);
+    std::map<std::uint32_t, int> Sent;
+    for (int I = 0; I < 24; ++I) {
+      ++Sent[numberOf(Pool.enqueue(call(++Id), Start))];
+    }
+    CHECK(Sent[1] == 12);
+    CHECK(Sent[2] == (Row.Used ? 12 : 0));
+    CHECK(Pool.waiting() == (Row.Used ? 0 : 12));
+  }
+}
