Keep one table of messages that are sent again until answered

Change: net::resend_table does it for both. Ruled out: one class for both, since one answers on the control thread and the other on a shard.

--- a/src/control/leader_channel.cpp
+++ b/src/control/leader_channel.cpp
@@ -1,6 +1,6 @@
 #include "control/leader_channel.h"
 
-#include <vector>
+#include <utility>
 
 namespace arbutus::control {
 
@@ -12,56 +12,26 @@
 } // namespace
 
 leader_channel::leader_channel(asio::io_context &Io, send_function Send)
-    : Timer(Io), Send(std::move(Send)) {}
+    : Open(
+          Io, ResendAfter,
+          [Send = std::move(Send)](std::uint64_t Number,
+                                   const open_call &Message) {
+            auto Call = Message.Call;
+            Call.Number = Number;
+            Send(Call);
+          },
+          [](const open_call &Message) { Message.Callback(std::nullopt); }) {}
 
 void leader_channel::call(api_request_message Call, duration Timeout,
                           callback Callback) {
-  Call.Number = ++LastNumber;
-  Send(Call);
-  const std::uint64_t Number = Call.Number;
-  Open.emplace(Number,
-               open_call{std::move(Call), monotonic_clock::now() + Timeout,
-                         std::move(Callback)});
-  armTimer();
+  Open.add({std::move(Call), std::move(Callback)},
+           monotonic_clock::now() + Timeout);
 }
 
 void leader_channel::onReply(const api_reply_message &Reply) {
-  const auto It = Open.find(Reply.Number);
-  if (It == Open.end()) {
-    return;
+  if (const auto Answered = Open.take(Reply.Number)) {
+    Answered->Callback(Reply);
   }
-  const auto Callback = std::move(It->second.Callback);
-  Open.erase(It);
-  Callback(Reply);
-}
-
-void leader_channel::armTimer() {
-  if (TimerArmed || Open.empty()) {
-    return;
-  }
-  TimerArmed = true;
-  Timer.expires_after(ResendAfter);
-  Timer.async_wait([this](const asio::error_code &Error) {
-    TimerArmed = false;
-    if (Error) {
-      return;
-    }
-    const instant Now = monotonic_clock::now();
-    std::vector<callback> Expired;
-    for (auto It = Open.begin(); It != Open.end();) {
-      if (It->second.Deadline <= Now) {
-        Expired.push_back(std::move(It->second.Callback));
-        It = Open.erase(It);
-      } else {
-        Send(It->second.Call);
-        ++It;
-      }
-    }
-    for (const auto &Callback : Expired) {
-      Callback(std::nullopt);
-    }
-    armTimer();
-  });
 }
 
 } // namespace arbutus::control
--- a/src/control/leader_channel.h
+++ b/src/control/leader_channel.h
@@ -3,11 +3,9 @@
 
 #include "base/clock.h"
 #include "control/messages.h"
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
+#include "net/resend_table.h"
 
 #include <functional>
-#include <map>
 #include <optional>
 
 namespace arbutus::control {
@@ -31,17 +29,10 @@
 private:
   struct open_call {
     api_request_message Call;
-    instant Deadline;
     callback Callback;
   };
 
-  void armTimer();
-
-  asio::steady_timer Timer;
-  send_function Send;
-  std::uint64_t LastNumber = 0;
-  std::map<std::uint64_t, open_call> Open;
-  bool TimerArmed = false;
+  net::resend_table<open_call> Open;
 };
 
 } // namespace arbutus::control
--- a/src/router/claim_client.cpp
+++ b/src/router/claim_client.cpp
@@ -3,7 +3,7 @@
 #include "base/codec.h"
 #include <asio/post.hpp>
 
-#include <vector>
+#include <utility>
 
 namespace arbutus::router {
 
@@ -20,7 +20,14 @@
 } // namespace
 
 claim_client::claim_client(asio::io_context &ControlIo, send_function Send)
-    : ControlIo(ControlIo), Timer(ControlIo), Send(std::move(Send)) {}
+    : ControlIo(ControlIo),
+      Open(
+          ControlIo, ResendAfter,
+          [Send = std::move(Send)](std::uint64_t Number,
+                                   const open_command &Command) {
+            Send(Number, Command.Encoded);
+          },
+          [this](const open_command &Command) { giveUp(Command); }) {}
 
 void claim_client::claim(store::claim_command Claim, instant Deadline,
                          shard &Shard, claim_callback Callback) {
@@ -42,54 +49,17 @@
 
 void claim_client::onReply(std::uint64_t Number,
                            const store::command_outcome &Outcome) {
-  const auto It = Open.find(Number);
-  if (It == Open.end()) {
-    return;
-  }
-  const open_command Command = std::move(It->second);
-  Open.erase(It);
-  if (Command.Callback) {
-    asio::post(Command.Shard->Io,
-               [Callback = Command.Callback, Outcome] { Callback(Outcome); });
+  const auto Command = Open.take(Number);
+  if (Command && Command->Callback) {
+    asio::post(Command->Shard->Io,
+               [Callback = Command->Callback, Outcome] { Callback(Outcome); });
   }
 }
 
 void claim_client::add(open_command Command) {
   asio::post(ControlIo, [this, Command = std::move(Command)]() mutable {
-    const std::uint64_t Number = ++LastNumber;
-    Send(Number, Command.Encoded);
-    Open.emplace(Number, std::move(Command));
-    if (!TimerArmed) {
-      resend();
-    }
-  });
-}
-
-void claim_client::resend() {
-  TimerArmed = true;
-  Timer.expires_after(ResendAfter);
-  Timer.async_wait([this](const asio::error_code &Error) {
-    TimerArmed = false;
-    if (Error) {
-      return;
-    }
-    const instant Now = monotonic_clock::now();
-    std::vector<open_command> Expired;
-    for (auto It = Open.begin(); It != Open.end();) {
-      if (It->second.Deadline <= Now) {
-        Expired.push_back(std::move(It->second));
-        It = Open.erase(It);
-        continue;
-      }
-      Send(It->first, It->second.Encoded);
-      ++It;
-    }
-    for (const auto &Command : Expired) {
-      giveUp(Command);
-    }
-    if (!Open.empty() && !TimerArmed) {
-      resend();
-    }
+    const instant Deadline = Command.Deadline;
+    Open.add(std::move(Command), Deadline);
   });
 }
 
--- a/src/router/claim_client.h
+++ b/src/router/claim_client.h
@@ -3,14 +3,13 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "net/resend_table.h"
 #include "router/shard.h"
 #include "store/commands.h"
 #include "store/outcome.h"
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 
@@ -56,15 +55,10 @@
   };
 
   void add(open_command Command);
-  void resend();
   void giveUp(const open_command &Command);
 
   asio::io_context &ControlIo;
-  asio::steady_timer Timer;
-  send_function Send;
-  std::uint64_t LastNumber = 0;
-  std::map<std::uint64_t, open_command> Open;
-  bool TimerArmed = false;
+  net::resend_table<open_command> Open;
 };
 
 } // namespace arbutus::router
