Find a shared prefix where earlier requests have sent it

Two reasons: a new owner of a cell, and a router that decides without its owner, knew nothing of the caches and spread prefixes by request id; and an engine with the prefix that was busy for the length of one prompt lost the request to an idle engine, which read the prefix again. Ruled out: eviction. Change: each prefix has a home engine by rendezvous hashing, which counts as having it while no engine is known to; a token to read again weighs 8 in place of 2.

--- a/src/balance/prompt_block.h
+++ b/src/balance/prompt_block.h
@@ -3,7 +3,10 @@
 
 #include <msgpack.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace arbutus::balance {
 
@@ -18,6 +21,17 @@
   MSGPACK_DEFINE(PrefixHash, Tokens)
 };
 
+/// Identifies the part of a prompt that other requests share: all blocks but
+/// the last, which belongs to the request itself. Empty if there is no such
+/// part.
+[[nodiscard]] inline std::optional<std::uint64_t>
+sharedPrefixHash(const std::vector<prompt_block> &Prompt) noexcept {
+  constexpr std::size_t OwnBlocks = 1;
+  return Prompt.size() <= OwnBlocks
+             ? std::nullopt
+             : std::optional(Prompt[Prompt.size() - OwnBlocks - 1].PrefixHash);
+}
+
 } // namespace arbutus::balance
 
 #endif
--- a/src/balance/prompt_cache.h
+++ b/src/balance/prompt_cache.h
@@ -32,6 +32,11 @@
   [[nodiscard]] std::uint64_t
   uncachedTokens(const std::vector<prompt_block> &Prompt) const;
 
+  /// True if the block with this hash is cached.
+  [[nodiscard]] bool contains(std::uint64_t PrefixHash) const {
+    return BlockByHash.find(PrefixHash) != BlockByHash.end();
+  }
+
   /// Records that the engine processes this prompt.
   void recordUse(const std::vector<prompt_block> &Prompt);
 
--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -21,7 +21,7 @@
 /// prefill itself. A repeated prefill uses capacity that all callers share, so
 /// a request prefers to wait for the engine with the cached prompt, up to the
 /// length of a few prompt blocks.
-constexpr double CacheMissPenaltyPerToken = 2;
+constexpr double CacheMissPenaltyPerToken = 8;
 /// Penalty of an engine whose requests all fail, in prompt tokens.
 constexpr double FailurePenaltyTokens = 20'000;
 /// Penalty of a plain upstream whose requests all fail, in requests per slot.
@@ -48,6 +48,11 @@
   return hash64(Name, Request.RequestId + Seed);
 }
 
+bool isExcluded(const queued_request &Request, upstream_id Upstream) {
+  return std::find(Request.Excluded.begin(), Request.Excluded.end(),
+                   Upstream) != Request.Excluded.end();
+}
+
 } // namespace
 
 request_scheduler::request_scheduler(std::uint64_t Seed) noexcept
@@ -312,31 +317,62 @@
   return Found == Upstreams.end() ? nullptr : &Found->second;
 }
 
-std::uint64_t
-request_scheduler::minUncachedTokens(const queued_request &Request) const {
-  std::uint64_t MinUncached = std::numeric_limits<std::uint64_t>::max();
+upstream_id request_scheduler::homeEngine(const queued_request &Request) const {
+  const auto Affinity = sharedPrefixHash(Request.Prompt);
+  upstream_id Home{};
+  if (!Affinity) {
+    return Home;
+  }
+  std::uint64_t Highest = 0;
+  for (const auto &[Id, Load] : Upstreams) {
+    if (!Load.Info.Usable || isExcluded(Request, Id)) {
+      continue;
+    }
+    if (Load.Cache.contains(*Affinity)) {
+      return {};
+    }
+    const auto Weight = hash64(Load.Info.Name, *Affinity);
+    if (number(Home) == 0 || Weight > Highest) {
+      Home = Id;
+      Highest = Weight;
+    }
+  }
+  return Home;
+}
+
+request_scheduler::cache_estimate
+request_scheduler::estimateCaches(const queued_request &Request) const {
+  cache_estimate Estimate;
+  Estimate.Home = homeEngine(Request);
+  if (number(Estimate.Home) != 0) {
+    Estimate.MinUncached = Request.Prompt.back().Tokens;
+    return Estimate;
+  }
+  Estimate.MinUncached = std::numeric_limits<std::uint64_t>::max();
   for (const auto &[Id, Load] : Upstreams) {
     if (Load.Info.Usable) {
-      MinUncached =
-          std::min(MinUncached, Load.Cache.uncachedTokens(Request.Prompt));
+      Estimate.MinUncached = std::min(
+          Estimate.MinUncached, Load.Cache.uncachedTokens(Request.Prompt));
     }
   }
-  return MinUncached;
+  return Estimate;
 }
 
 double request_scheduler::selectionPenalty(const queued_request &Request,
                                            const upstream_load &Load,
-                                           std::uint64_t MinUncached,
+                                           const cache_estimate &Caches,
                                            instant Now) const {
   const double Requests = estimatedRequests(Load, SchedulerCount, Now);
   if (!Load.Info.IsModelEngine) {
     return Requests / std::max(1U, Load.Info.Slots) +
            FailurePenaltyRequestsPerSlot * Load.FailureRate;
   }
-  const auto Uncached = Load.Cache.uncachedTokens(Request.Prompt);
+  const auto Uncached = Load.Info.Id == Caches.Home
+                            ? Caches.MinUncached
+                            : Load.Cache.uncachedTokens(Request.Prompt);
   return static_cast<double>(Load.PrefillTokens * SchedulerCount + Uncached) +
          CacheMissPenaltyPerToken *
-             static_cast<double>(Uncached - MinUncached) +
+             static_cast<double>(Uncached - Caches.MinUncached) +
          RunningPenaltyTokens * Requests +
          FailurePenaltyTokens * Load.FailureRate;
 }
@@ -344,7 +380,7 @@
 std::optional<upstream_id>
 request_scheduler::selectUpstream(const queued_request &Request,
                                   instant Now) const {
-  const auto MinUncached = minUncachedTokens(Request);
+  const auto Caches = estimateCaches(Request);
   // Spare capacity must not stay unused while a request to a plain upstream
   // waits for a full upstream with a slightly lower failure rate.
   const auto HasSpareCapacity = [&](const upstream_load &Load) {
@@ -357,17 +393,14 @@
   double LowestPenalty = 0;
   std::uint64_t BestRank = 0;
   for (const auto &[Id, Load] : Upstreams) {
-    const bool Excluded =
-        std::find(Request.Excluded.begin(), Request.Excluded.end(), Id) !=
-        Request.Excluded.end();
-    if (Excluded || !isEligible(Load, Now)) {
+    if (isExcluded(Request, Id) || !isEligible(Load, Now)) {
       continue;
     }
     const bool Spare = HasSpareCapacity(Load);
     if (Best != nullptr && BestHasSpare && !Spare) {
       continue;
     }
-    const double Penalty = selectionPenalty(Request, Load, MinUncached, Now);
+    const double Penalty = selectionPenalty(Request, Load, Caches, Now);
     const auto Rank = tieBreakRank(Request, Load.Info.Name, Seed);
     if (Best == nullptr || Spare != BestHasSpare || Penalty < LowestPenalty ||
         (Penalty == LowestPenalty && Rank > BestRank)) {
--- a/src/balance/request_scheduler.h
+++ b/src/balance/request_scheduler.h
@@ -105,15 +105,29 @@
     instant SentAt{};
   };
 
+  /// What the engines have cached of one prompt.
+  struct cache_estimate {
+    /// Engine that probably has the shared prefix although no request was seen
+    /// to bring it there; 0 if an engine is known to have it.
+    upstream_id Home{};
+    /// Fewest tokens that any engine has to prefill.
+    std::uint64_t MinUncached = 0;
+  };
+
   [[nodiscard]] std::optional<upstream_id>
   selectUpstream(const queued_request &Request, instant Now) const;
   /// Lower is better.
   [[nodiscard]] double selectionPenalty(const queued_request &Request,
                                         const upstream_load &Load,
-                                        std::uint64_t MinUncached,
+                                        const cache_estimate &Caches,
                                         instant Now) const;
-  [[nodiscard]] std::uint64_t
-  minUncachedTokens(const queued_request &Request) const;
+  [[nodiscard]] cache_estimate
+  estimateCaches(const queued_request &Request) const;
+  /// Engine that every scheduler selects first for a shared prefix, by
+  /// rendezvous hashing: a new owner of the cell, and a router that decides
+  /// without the owner, find the prefix where earlier ones have sent it. 0 if
+  /// an engine is known to have it, or if nothing is shared.
+  [[nodiscard]] upstream_id homeEngine(const queued_request &Request) const;
   void send(const queued_request &Request, upstream_id Upstream, instant Now);
   void recordResponseTime(const in_flight_request &Request,
                           const upstream_load &Load, upstream_result Result,
--- a/src/traffic/slot_allocator.cpp
+++ b/src/traffic/slot_allocator.cpp
@@ -64,9 +64,7 @@
 /// Requests with the same affinity go to the same cell: those whose prompts
 /// differ only in the last block.
 std::uint64_t affinityOf(const slot_request &Request) {
-  return Request.Prompt.size() < 2
-             ? Request.RequestId
-             : Request.Prompt[Request.Prompt.size() - 2].PrefixHash;
+  return balance::sharedPrefixHash(Request.Prompt).value_or(Request.RequestId);
 }
 
 } // namespace
