End calls whose server sends bytes without end

Cause: a faulty upstream may send a head, interim answers, answers to other calls, a body or chunks without end. Of 13 ways, the client before read five until the deadline (256 MB in the test, where its server gives up); the list of VMs and load reports were kept whole; an event of more than 256 KB was forwarded in pieces although it is no event. Ruled out: limits in http_parser alone. It bounds one head, chunk sizes and trailers at 80 KB, and the rows for these were green before; it has no bound over several heads or for a body. Change: limits on a call's framing bytes and body, on one event, and on what a stream's caller has not taken; the attempt then counts as a failed one of the upstream. Peak memory of a whole router process under these rows was not measured.

--- a/src/control/instance_poller.cpp
+++ b/src/control/instance_poller.cpp
@@ -12,6 +12,8 @@
 /// No further page is read after this many instances, because a faulty server
 /// could return pages without end.
 constexpr std::size_t MaxInstances = 50'000;
+/// Larger than any page; bounds the memory that a faulty server can use.
+constexpr std::size_t MaxPageBytes = std::size_t{4} << 20U;
 
 } // namespace
 
@@ -47,6 +49,7 @@
   Call.Url = "http://" + Settings.Server.toString() +
              Adapter.InstancesTarget(PageToken);
   Call.Timeout = CallTimeout;
+  Call.MaxBodyBytes = MaxPageBytes;
   Call.OnHeaders = [Status](int Code, const net::http_headers &) {
     *Status = Code;
   };
--- a/src/control/pool_host.cpp
+++ b/src/control/pool_host.cpp
@@ -16,6 +16,8 @@
 /// Time between two load polls of the same upstream.
 constexpr auto PollInterval = std::chrono::milliseconds(500);
 constexpr duration PollTimeout = 400ms;
+/// Larger than any load report; bounds the memory that a faulty server can use.
+constexpr std::size_t MaxLoadReportBytes = std::size_t{64} << 10U;
 
 } // namespace
 
@@ -173,6 +175,7 @@
   Call.Method = "GET";
   Call.Url = "http://" + std::string(Address) + "/load";
   Call.Timeout = PollTimeout;
+  Call.MaxBodyBytes = MaxLoadReportBytes;
   Call.OnHeaders = [Status](int Code, const net::http_headers &) {
     *Status = Code;
   };
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -21,6 +21,14 @@
 /// so that a request does not cross the server's close.
 constexpr duration KeepAliveMargin = 700ms;
 
+/// Bytes of one call that are no body of its answer: heads, interim answers,
+/// answers to other calls, chunk sizes and trailers. A faulty server may send
+/// these without end.
+constexpr std::size_t MaxFramingBytes = std::size_t{256} << 10U;
+/// Framing bytes that are allowed beyond that for each byte of the body. A
+/// chunk of one byte has five.
+constexpr std::size_t MaxFramingPerBodyByte = 8;
+
 using user_timeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -96,6 +104,7 @@
   OnIdleEnd = nullptr;
   Request = requestText(Call);
   Written = AnySent = AnswerBegun = AnswerDone = SkipAnswer = false;
+  BytesRead = BodyBytes = 0;
   Deadline = monotonic_clock::now() + Call.Timeout;
   http_parser_init(&Parser, HTTP_RESPONSE);
   Parser.data = this;
@@ -137,6 +146,14 @@
           Self->end(call_outcome::NothingSent);
           return;
         }
+        asio::error_code Failed;
+        Self->Socket.non_blocking(true, Failed);
+        if (Failed) {
+          logEvent(log_level::Warning, "socket_failed",
+                   {{"reason", Failed.message()}});
+          Self->end(call_outcome::NothingSent);
+          return;
+        }
         Self->Connected = true;
         Self->armCallTimer();
         Self->write();
@@ -182,21 +199,31 @@
 
 void client_connection::read() {
   Reading = true;
-  Socket.async_read_some(asio::buffer(Buffer),
-                         [Self = shared_from_this()](
-                             const asio::error_code &Code, std::size_t Bytes) {
-                           Self->Reading = false;
-                           if (Self->Closed) {
-                             return;
-                           }
-                           if (!Self->OnEnd) {
-                             Self->onIdleRead();
-                           } else if (Code) {
-                             Self->onReadEnd(Code);
-                           } else {
-                             Self->onRead({Self->Buffer.data(), Bytes});
-                           }
-                         });
+  // Waiting before reading saves the system call that would find nothing: the
+  // pieces of an answer come one by one.
+  Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                    [Self = shared_from_this()](const asio::error_code &Error) {
+                      Self->Reading = false;
+                      if (!Self->Closed) {
+                        Self->onReadable(Error);
+                      }
+                    });
+}
+
+void client_connection::onReadable(asio::error_code Error) {
+  std::size_t Bytes = 0;
+  if (!Error) {
+    Bytes = Socket.read_some(asio::buffer(Buffer), Error);
+  }
+  if (Error == asio::error::would_block) {
+    read();
+  } else if (!OnEnd) {
+    onIdleRead();
+  } else if (Error) {
+    onReadEnd(Error);
+  } else {
+    onRead({Buffer.data(), Bytes});
+  }
 }
 
 void client_connection::onRead(std::string_view Bytes) {
@@ -207,21 +234,40 @@
   if (Closed) {
     return;
   }
+  BytesRead += Bytes.size();
   if (AnswerDone) {
     Stray = Stray || Used < Bytes.size();
     end(call_outcome::Complete);
     return;
   }
+  if (exceedsLimits()) {
+    logEvent(log_level::Warning, "answer_too_long",
+             {{"server", Server.address().to_string()},
+              {"bytes", BytesRead},
+              {"body_bytes", BodyBytes}});
+    end(brokenOutcome());
+    return;
+  }
   if (HTTP_PARSER_ERRNO(&Parser) != HPE_OK) {
     logEvent(log_level::Info, "answer_unreadable",
              {{"server", Server.address().to_string()},
               {"reason", http_errno_name(HTTP_PARSER_ERRNO(&Parser))}});
-    end(AnswerBegun ? call_outcome::AnswerBroken : call_outcome::SentNoAnswer);
+    end(brokenOutcome());
     return;
   }
   read();
 }
 
+bool client_connection::exceedsLimits() const noexcept {
+  return BodyBytes > Call.MaxBodyBytes ||
+         BytesRead >
+             BodyBytes + MaxFramingBytes + MaxFramingPerBodyByte * BodyBytes;
+}
+
+call_outcome client_connection::brokenOutcome() const noexcept {
+  return AnswerBegun ? call_outcome::AnswerBroken : call_outcome::SentNoAnswer;
+}
+
 void client_connection::onReadEnd(const asio::error_code &Error) {
   static const http_parser_settings Settings = parserSettings();
   const auto Self = shared_from_this();
@@ -237,7 +283,7 @@
       return;
     }
   }
-  end(AnswerBegun ? call_outcome::AnswerBroken : call_outcome::SentNoAnswer);
+  end(brokenOutcome());
 }
 
 void client_connection::onIdleRead() {
@@ -352,10 +398,15 @@
   };
   Settings.on_body = [](http_parser *Parser, const char *At, std::size_t Size) {
     auto &Self = of(Parser);
-    if (!Self.SkipAnswer && Self.Call.OnBody) {
+    if (Self.SkipAnswer) {
+      return 0;
+    }
+    Self.BodyBytes += Size;
+    const bool TooLong = Self.BodyBytes > Self.Call.MaxBodyBytes;
+    if (!TooLong && Self.Call.OnBody) {
       Self.Call.OnBody({At, Size});
     }
-    return Self.Closed ? 1 : 0;
+    return Self.Closed || TooLong ? 1 : 0;
   };
   Settings.on_message_complete = [](http_parser *Parser) {
     return of(Parser).onMessageComplete();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -57,7 +57,11 @@
   void armCallTimer();
   void write();
   void read();
+  void onReadable(asio::error_code Error);
   void onRead(std::string_view Bytes);
+  [[nodiscard]] bool exceedsLimits() const noexcept;
+  /// How a call ends whose answer is not read to its end.
+  [[nodiscard]] call_outcome brokenOutcome() const noexcept;
   void onReadEnd(const asio::error_code &Error);
   void onIdleRead();
   void end(call_outcome Outcome);
@@ -83,6 +87,8 @@
   instant IdleUntil{};
   instant Deadline{};
 
+  std::size_t BytesRead = 0; ///< since the call started
+  std::size_t BodyBytes = 0; ///< of them, bytes of the answer's body
   http_headers Headers;
   std::string Field;
   std::string Value;
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -5,7 +5,9 @@
 #include "net/call_outcome.h"
 #include "net/http_message.h"
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -22,6 +24,10 @@
   /// Uses a connection of its own, which is closed after the call.
   bool FreshConnection = false;
 
+  /// A longer body ends the call with `AnswerBroken`. Streams have no limit:
+  /// their bytes are passed on and not kept.
+  std::size_t MaxBodyBytes = std::numeric_limits<std::size_t>::max();
+
   duration ConnectTimeout = 500ms;
   duration Timeout = 60s; ///< for the whole call
 
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -26,12 +26,15 @@
   /// Sends the whole answer.
   virtual void respond(http_response Response) = 0;
 
-  /// Starts a chunked answer.
+  /// Starts a chunked answer. Its head is sent with the first chunk.
   virtual void beginStream(int Status, const http_headers &Headers) = 0;
 
   /// Sends one chunk at once.
   virtual void writeChunk(std::string Chunk) = 0;
 
+  /// Bytes of chunks that the caller's connection has not taken yet.
+  [[nodiscard]] virtual std::size_t unsentBytes() const noexcept = 0;
+
   /// Ends the chunked answer.
   virtual void endStream() = 0;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -121,16 +121,19 @@
     if (Open->crowded()) {
       Stream->connection_close();
     }
-    Stream->flush();
   }
 
   void writeChunk(std::string Chunk) override {
     if (Stream && !Finished && !Chunk.empty()) {
+      const std::size_t Size = Chunk.size();
+      *Unsent += Size;
       Stream->append_chunk(std::move(Chunk));
-      Stream->flush();
+      Stream->flush([Unsent = Unsent, Size](const auto &) { *Unsent -= Size; });
     }
   }
 
+  std::size_t unsentBytes() const noexcept override { return *Unsent; }
+
   void endStream() override {
     if (Stream && !Finished) {
       Finished = true;
@@ -216,6 +219,8 @@
   std::weak_ptr<restinio::impl::connection_base_t> Connection;
   http_request Request;
   std::optional<chunked_builder> Stream;
+  /// Shared with writes that may end after this object.
+  std::shared_ptr<std::size_t> Unsent = std::make_shared<std::size_t>(0);
   std::function<void()> Disconnected;
   bool Answered = false;
   bool Finished = false;
--- a/src/traffic/event_splitter.cpp
+++ b/src/traffic/event_splitter.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-/// Maximum size of an event that is buffered until it is complete. Longer
-/// events are forwarded as they arrive.
+/// Maximum size of an event. It is buffered until it is complete.
 constexpr std::size_t MaxEventBytes = std::size_t{256} << 10U;
 
 /// Offset after the empty line that ends an event.
@@ -56,6 +55,9 @@
 } // namespace
 
 std::string event_splitter::append(std::string_view Bytes) {
+  if (TooLong) {
+    return {};
+  }
   Buffer += Bytes;
   std::string Events;
   std::string_view Rest = Buffer;
@@ -66,7 +68,8 @@
   }
   Buffer.erase(0, Buffer.size() - Rest.size());
   if (Buffer.size() > MaxEventBytes) {
-    Events += flush();
+    TooLong = true;
+    Buffer = {};
   }
   return Events;
 }
--- a/src/traffic/event_splitter.h
+++ b/src/traffic/event_splitter.h
@@ -17,8 +17,8 @@
 class event_splitter {
 public:
   /// Adds bytes and returns the complete events among them, unchanged. Events
-  /// with an id that was already returned are dropped. Returns an incomplete
-  /// event too once it exceeds the buffer limit.
+  /// with an id that was already returned are dropped. Returns nothing more
+  /// once `isTooLong`.
   [[nodiscard]] std::string append(std::string_view Bytes);
 
   /// Returns the bytes after the last complete event, at the end of a complete
@@ -27,7 +27,14 @@
 
   /// Drops a partially received event before the stream resumes at another
   /// upstream.
-  void discardPartial() noexcept { Buffer.clear(); }
+  void discardPartial() noexcept {
+    Buffer.clear();
+    TooLong = false;
+  }
+
+  /// True once an event exceeds the buffer limit: what the upstream sends is no
+  /// event stream.
+  [[nodiscard]] bool isTooLong() const noexcept { return TooLong; }
 
   /// Id of the last event returned; nothing before the first.
   [[nodiscard]] std::optional<std::uint64_t> lastId() const noexcept {
@@ -43,6 +50,7 @@
   std::string Buffer;
   std::optional<std::uint64_t> LastId;
   bool Resumable = true;
+  bool TooLong = false;
 };
 
 } // namespace arbutus::traffic
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -17,8 +17,10 @@
 using router::request_phase;
 using router::retry_action;
 
-/// Maximum size of a buffered response.
-constexpr std::size_t MaxResponseBytes = std::size_t{16} << 20U;
+/// Maximum size of a buffered response. A router with 88 MB buffers several.
+constexpr std::size_t MaxResponseBytes = std::size_t{4} << 20U;
+/// A stream ends when its caller is this many bytes behind.
+constexpr std::size_t MaxUnsentBytes = std::size_t{1} << 20U;
 constexpr int MinNonSuccessStatus = 300;
 constexpr int MinServerErrorStatus = 500;
 
@@ -109,6 +111,9 @@
 
 void onCallDone(const traffic_request_ptr &Request, net::call_outcome Outcome) {
   auto &Shard = Request->Shard;
+  if (Request->Attempt.Oversized && !Request->CallerDisconnected) {
+    Outcome = net::call_outcome::AnswerBroken; // cancelled by this router
+  }
   const auto UpstreamResult = upstreamResultOf(*Request, Outcome);
   if (Request->Attempt.ResponseInfo.Load) {
     Shard.Slots.onLoadReport(Request->Service, Request->Attempt.Upstream,
@@ -168,16 +173,22 @@
                                                Attempt.SentAt);
     Request->Shard.Slots.onFirstByte(Request->Id);
   }
-  if (Request->isStream() && isSuccess(*Request) && isResponseValid(*Request)) {
-    forwardEvents(*Request, Request->Events.append(Bytes));
+  if (Attempt.Oversized) {
     return;
   }
-  if (Attempt.Body.size() + Bytes.size() > MaxResponseBytes) {
+  if (Request->isStream() && isSuccess(*Request) && isResponseValid(*Request)) {
+    forwardEvents(*Request, Request->Events.append(Bytes));
+    Attempt.Oversized = Request->Events.isTooLong() ||
+                        Request->Exchange->unsentBytes() > MaxUnsentBytes;
+  } else if (Attempt.Body.size() + Bytes.size() > MaxResponseBytes) {
     Attempt.Oversized = true;
+  } else {
+    Attempt.Body += Bytes;
+  }
+  if (Attempt.Oversized) {
+    Attempt.Body = {};
     Request->Shard.Shard.Client.cancel(Attempt.Call);
-    return;
   }
-  Attempt.Body += Bytes;
 }
 
 const store::instance_entry *findInstance(const store::traffic_view &Traffic,
--- a/tests/net/test_http_client.cpp
+++ b/tests/net/test_http_client.cpp
@@ -243,3 +243,167 @@
   CHECK(callOnce(Io, Client, "http://no-address/").Outcome ==
         call_outcome::NothingSent);
 }
+
+namespace {
+
+/// A server that answers one request with `Begin` and then with `Repeat` until
+/// the client closes, or gives up after `MaxSentBytes`.
+class endless_server {
+public:
+  endless_server(std::string Begin, std::string Repeat, duration Pause)
+      : Acceptor(Io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        Thread([this, Begin = std::move(Begin), Repeat = std::move(Repeat),
+                Pause] { run(Begin, Repeat, Pause); }) {}
+  ~endless_server() { join(); }
+  endless_server(const endless_server &) = delete;
+  endless_server &operator=(const endless_server &) = delete;
+
+  [[nodiscard]] std::string url() {
+    return "http://127.0.0.1:" +
+           std::to_string(Acceptor.local_endpoint().port()) + "/x";
+  }
+  void join() {
+    if (Thread.joinable()) {
+      Thread.join();
+    }
+  }
+
+  static constexpr std::size_t MaxSentBytes = std::size_t{256} << 20U;
+  /// Valid after `join`.
+  std::size_t SentBytes = 0;
+
+private:
+  void run(const std::string &Begin, const std::string &Repeat,
+           duration Pause) {
+    tcp::socket Socket(Io);
+    Acceptor.accept(Socket);
+    asio::streambuf Buffer;
+    asio::error_code Error;
+    asio::read_until(Socket, Buffer, "\r\n\r\n", Error);
+    asio::write(Socket, asio::buffer(Begin), Error);
+    while (!Error && SentBytes < MaxSentBytes) {
+      std::this_thread::sleep_for(Pause);
+      SentBytes += asio::write(Socket, asio::buffer(Repeat), Error);
+    }
+  }
+
+  asio::io_context Io;
+  tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+std::string repeated(std::string_view Text, std::size_t Count) {
+  std::string Bytes;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Bytes += Text;
+  }
+  return Bytes;
+}
+
+} // namespace
+
+// Guards against a faulty server that sends bytes without end: the call ends,
+// its connection is closed, and what is kept of the answer is bounded.
+TEST_CASE("a call ends although its server sends bytes without end") {
+  struct row {
+    std::string What;
+    std::string Begin;
+    std::string Repeat;
+    call_outcome Outcome;
+  };
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string Many = std::string(16'000, '1');
+  const std::vector<row> Rows = {
+      {"status line", "HTTP/1.1 200 ", Many, call_outcome::SentNoAnswer},
+      {"no HTTP", "", Many, call_outcome::SentNoAnswer},
+      {"one header", "HTTP/1.1 200 OK\r\nA: ", Many,
+       call_outcome::SentNoAnswer},
+      {"headers", "HTTP/1.1 200 OK\r\n", repeated("A: b\r\n", 2'000),
+       call_outcome::SentNoAnswer},
+      {"interim answers", "", repeated("HTTP/1.1 100 Continue\r\n\r\n", 600),
+       call_outcome::SentNoAnswer},
+      {"answers to other calls", "", repeated(OkOf6, 300),
+       call_outcome::SentNoAnswer},
+      {"the body of an answer to another call",
+       "HTTP/1.1 200 OK\r\nId: 6\r\n\r\n", Many, call_outcome::SentNoAnswer},
+      {"chunk size", Chunked, Many, call_outcome::AnswerBroken},
+      {"chunk extension", Chunked + "2;", Many, call_outcome::AnswerBroken},
+      {"trailer", Chunked + "2\r\nok\r\n0\r\nA: ", Many,
+       call_outcome::AnswerBroken},
+      {"trailers", Chunked + "2\r\nok\r\n0\r\n", repeated("A: b\r\n", 2'000),
+       call_outcome::AnswerBroken},
+      {"body without a length", "HTTP/1.1 200 OK\r\nId: 7\r\n\r\n", Many,
+       call_outcome::AnswerBroken},
+      {"chunks", Chunked, "3e80\r\n" + Many + "\r\n",
+       call_outcome::AnswerBroken},
+  };
+  constexpr std::size_t MaxBodyBytes = std::size_t{1} << 20U;
+  // What the client reads, and what the kernel buffers of both sides hold.
+  constexpr std::size_t MaxSentBytes = std::size_t{24} << 20U;
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    endless_server Server(Row.Begin, Row.Repeat, duration::zero());
+    asio::io_context Io;
+    http_client Client(Io);
+    bool Done = false;
+    std::size_t BodyBytes = 0;
+    call_outcome Outcome{};
+    http_call Call;
+    Call.Method = "GET";
+    Call.Url = Server.url();
+    Call.Timeout = 60s;
+    Call.MaxBodyBytes = MaxBodyBytes;
+    Call.IsAnswer = [](const http_headers &Headers) {
+      return headerOf(Headers, "Id") == "7";
+    };
+    Call.OnBody = [&](std::string_view Bytes) { BodyBytes += Bytes.size(); };
+    Call.OnDone = [&](call_outcome Ended) {
+      Outcome = Ended;
+      Done = true;
+    };
+    Client.start(std::move(Call));
+    while (!Done) {
+      Io.run_one();
+    }
+    Server.join();
+    CHECK(nameOf(Outcome) == nameOf(Row.Outcome));
+    CHECK(BodyBytes <= MaxBodyBytes);
+    CHECK(Server.SentBytes <= MaxSentBytes);
+  }
+}
+
+// Guards against a call that outlives its deadline because its server sends a
+// byte now and then.
+TEST_CASE("a call ends at its deadline although bytes keep coming") {
+  struct row {
+    std::string What;
+    std::string Begin;
+  };
+  const std::vector<row> Rows = {
+      {"in the head", "HTTP/1.1 200 OK\r\nA: "},
+      {"in the body", "HTTP/1.1 200 OK\r\n\r\n"},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    endless_server Server(Row.Begin, "1", 5ms);
+    asio::io_context Io;
+    http_client Client(Io);
+    bool Done = false;
+    call_outcome Outcome{};
+    http_call Call;
+    Call.Method = "GET";
+    Call.Url = Server.url();
+    Call.Timeout = 200ms;
+    Call.OnDone = [&](call_outcome Ended) {
+      Outcome = Ended;
+      Done = true;
+    };
+    Client.start(std::move(Call));
+    while (!Done) {
+      Io.run_one();
+    }
+    Server.join();
+    CHECK(nameOf(Outcome) == nameOf(call_outcome::DeadlinePassed));
+  }
+}
