Keep requests with a short shared prefix in their failure domain

Ruled out: every request near its caller. Tests: tests/balance/test_cell_map.cpp and tests/traffic/test_slot_allocator.cpp name the load (one domain with most callers, hundreds of routers and tens of cells).

--- a/src/balance/cell_map.cpp
+++ b/src/balance/cell_map.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t MaxSingleCellUpstreams = 16;
 /// Mean number of upstreams in the cells of a larger service.
 constexpr std::size_t MeanCellUpstreams = 10;
+/// Requests leave their failure domain from this share of busy upstreams on.
+constexpr double SpillBusyShare = 0.4;
+/// Part of the requests that stays in any case, so that the domain's own cells
+/// are used and their load stays known.
+constexpr double MinNearFraction = 0.1;
 
 std::uint64_t rendezvousWeight(std::string_view Name, std::uint64_t Candidate) {
   return hash64(Name, Candidate * 0x9e3779b97f4a7c15U + 1);
@@ -34,22 +39,32 @@
   return Best;
 }
 
-/// Nodes that may own cells: live routers that are not draining. Voters are
-/// used only if there is no other router, because they have other work and
-/// restart more often.
+/// Nodes of a failure domain, or of all if it is empty, that may own cells:
+/// live routers that are not draining. Voters are used only if there is no
+/// other router, because they have other work and restart more often.
 std::vector<node_id>
-eligibleOwners(const std::vector<membership::live_node> &Nodes) {
+eligibleOwners(const std::vector<membership::live_node> &Nodes,
+               std::string_view FailureDomain) {
   std::vector<node_id> NonVoters;
   std::vector<node_id> Voters;
   for (const auto &Node : Nodes) {
     if (Node.Info.TrafficAddress.empty() || Node.Suspected || Node.Leaving) {
       continue;
     }
+    if (!FailureDomain.empty() && Node.Info.FailureDomain != FailureDomain) {
+      continue;
+    }
     (Node.Info.IsControl ? Voters : NonVoters).push_back(Node.Info.Node);
   }
   return NonVoters.empty() ? Voters : NonVoters;
 }
 
+/// A number in (0, 1) that depends on the hash only.
+double uniform(std::uint64_t Hash) {
+  return (static_cast<double>(Hash >> 11U) + 0.5) /
+         static_cast<double>(std::uint64_t{1} << 53U);
+}
+
 std::optional<node_id> selectOwner(const cell_key &Key,
                                    const std::vector<node_id> &Candidates) {
   const std::string Name = Key.Service + "#" + std::to_string(Key.Index);
@@ -71,7 +86,7 @@
   for (const auto &Info : Upstreams) {
     Groups[IsSingleCell ? std::string() : Info.FailureDomain].push_back(&Info);
   }
-  const auto Candidates = eligibleOwners(Nodes);
+  const auto AnyCandidates = eligibleOwners(Nodes, {});
   std::vector<cell> Cells;
   std::uint32_t First = 0;
   for (const auto &[Domain, GroupUpstreams] : Groups) {
@@ -79,9 +94,13 @@
         IsSingleCell ? 1
                      : (GroupUpstreams.size() + MeanCellUpstreams - 1) /
                            MeanCellUpstreams);
+    const auto NearCandidates = eligibleOwners(Nodes, Domain);
+    const auto &Candidates =
+        NearCandidates.empty() ? AnyCandidates : NearCandidates;
     for (std::uint32_t I = First; I < First + Count; ++I) {
       cell Cell;
       Cell.Key = {std::string(Service), I};
+      Cell.FailureDomain = Domain;
       Cell.Owner = selectOwner(Cell.Key, Candidates);
       Cells.push_back(std::move(Cell));
     }
@@ -94,25 +113,22 @@
   return Cells;
 }
 
-const cell *chooseCell(const std::vector<cell> &Cells, std::uint64_t Affinity) {
+const cell *chooseCell(const std::vector<cell> &Cells, std::uint64_t Affinity,
+                       const cell_filter &Accept) {
   const cell *Best = nullptr;
   double BestScore = 0;
   for (const auto &Cell : Cells) {
     const auto Usable =
         std::count_if(Cell.Upstreams.begin(), Cell.Upstreams.end(),
                       [](const auto &Info) { return Info.Usable; });
-    if (Usable == 0) {
+    if (Usable == 0 || !Accept(Cell)) {
       continue;
     }
     // Weighted rendezvous hashing: cells receive requests in proportion to
     // their usable upstreams.
-    const double Uniform =
-        (static_cast<double>(
-             rendezvousWeight(Cell.Key.Service, Affinity + Cell.Key.Index) >>
-             11U) +
-         0.5) /
-        static_cast<double>(std::uint64_t{1} << 53U);
-    const double Score = static_cast<double>(Usable) / -std::log(Uniform);
+    const double Score = static_cast<double>(Usable) /
+                         -std::log(uniform(rendezvousWeight(
+                             Cell.Key.Service, Affinity + Cell.Key.Index)));
     if (Best == nullptr || Score > BestScore) {
       Best = &Cell;
       BestScore = Score;
@@ -121,4 +137,26 @@
   return Best;
 }
 
+const cell *
+chooseNearCell(const std::vector<cell> &Cells, std::uint64_t Affinity,
+               std::string_view FailureDomain,
+               const std::function<double(const cell &)> &BusyShare) {
+  const auto IsNear = [&](const cell &Cell) {
+    return Cell.FailureDomain.empty() || Cell.FailureDomain == FailureDomain;
+  };
+  const auto *Near = chooseCell(Cells, Affinity, IsNear);
+  if (Near == nullptr) {
+    return chooseCell(Cells, Affinity);
+  }
+  const double NearFraction =
+      std::max(MinNearFraction, (1 - BusyShare(*Near)) / (1 - SpillBusyShare));
+  if (uniform(hash64("spill", Affinity)) < NearFraction) {
+    return Near;
+  }
+  const auto *Far = chooseCell(Cells, Affinity,
+                               [&](const cell &Cell) { return !IsNear(Cell); });
+  const bool Better = Far != nullptr && BusyShare(*Far) < BusyShare(*Near);
+  return Better ? Far : Near;
+}
+
 } // namespace arbutus::balance
--- a/src/balance/cell_map.h
+++ b/src/balance/cell_map.h
@@ -6,6 +6,7 @@
 #include "membership/node_session.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,23 +32,40 @@
 struct cell {
   cell_key Key;
   std::vector<upstream_info> Upstreams;
+  /// Failure domain of the upstreams; empty if the cell has those of all.
+  std::string FailureDomain;
   /// Router that schedules the cell; nothing while no eligible router is live.
   std::optional<node_id> Owner;
 };
 
 /// Divides the upstreams of a service into cells and assigns an owner to each.
 /// The result is the same on every router that sees the same upstreams and
-/// nodes. A change of these moves as few upstreams and cells as possible.
+/// nodes. A change of these moves as few upstreams and cells as possible. The
+/// owner is in the failure domain of the cell while a router there is eligible.
 [[nodiscard]] std::vector<cell>
 assignCells(std::string_view Service,
             const std::vector<upstream_info> &Upstreams,
             const std::vector<membership::live_node> &Nodes);
 
+/// True if a cell is acceptable for a request.
+using cell_filter = std::function<bool(const cell &)>;
+
 /// Selects the cell for a request. Requests with the same affinity get the same
 /// cell; different ones are spread in proportion to the usable upstreams of the
-/// cells. Returns nullptr if no cell has a usable upstream.
-[[nodiscard]] const cell *chooseCell(const std::vector<cell> &Cells,
-                                     std::uint64_t Affinity);
+/// cells. Returns nullptr if no acceptable cell has a usable upstream.
+[[nodiscard]] const cell *chooseCell(
+    const std::vector<cell> &Cells, std::uint64_t Affinity,
+    const cell_filter &Accept = [](const cell &) { return true; });
+
+/// Selects the cell for a request whose body should stay in its failure domain.
+/// `BusyShare` is the share of a cell's upstreams that had no capacity lately;
+/// the nearer it comes to 1, the more requests go to cells of other domains.
+/// Those with the same affinity go the same way. Selects among all cells if
+/// those of the domain have no usable upstream.
+[[nodiscard]] const cell *
+chooseNearCell(const std::vector<cell> &Cells, std::uint64_t Affinity,
+               std::string_view FailureDomain,
+               const std::function<double(const cell &)> &BusyShare);
 
 } // namespace arbutus::balance
 
--- a/src/balance/prompt_block.h
+++ b/src/balance/prompt_block.h
@@ -21,17 +21,29 @@
   MSGPACK_DEFINE(PrefixHash, Tokens)
 };
 
+/// Number of blocks at the end of a prompt that belong to the request itself.
+inline constexpr std::size_t OwnBlocks = 1;
+
 /// Identifies the part of a prompt that other requests share: all blocks but
 /// the last, which belongs to the request itself. Empty if there is no such
 /// part.
 [[nodiscard]] inline std::optional<std::uint64_t>
 sharedPrefixHash(const std::vector<prompt_block> &Prompt) noexcept {
-  constexpr std::size_t OwnBlocks = 1;
   return Prompt.size() <= OwnBlocks
              ? std::nullopt
              : std::optional(Prompt[Prompt.size() - OwnBlocks - 1].PrefixHash);
 }
 
+/// Tokens of the part of a prompt that other requests share.
+[[nodiscard]] inline std::uint64_t
+sharedPrefixTokens(const std::vector<prompt_block> &Prompt) noexcept {
+  std::uint64_t Tokens = 0;
+  for (std::size_t I = 0; I + OwnBlocks < Prompt.size(); ++I) {
+    Tokens += Prompt[I].Tokens;
+  }
+  return Tokens;
+}
+
 } // namespace arbutus::balance
 
 #endif
--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -32,6 +32,8 @@
 constexpr double TolerableFailureRate = 0.35;
 /// Weight of the newest result in the failure rate.
 constexpr double FailureRateWeight = 0.1;
+/// Weight of the newest request in the share of busy upstreams.
+constexpr double BusyShareWeight = 0.1;
 /// Back-off after the first failed connection. It doubles with each consecutive
 /// failure, up to `MaxBackoffDoublings` times.
 constexpr duration InitialConnectBackoff = 500ms;
@@ -137,6 +139,22 @@
   }
 }
 
+void request_scheduler::recordBusyShare(instant Now) {
+  std::size_t Usable = 0;
+  std::size_t Busy = 0;
+  for (const auto &[Id, Load] : Upstreams) {
+    if (Load.Info.Usable) {
+      ++Usable;
+      Busy += isEligible(Load, Now) && hasCapacity(Load, SchedulerCount, Now)
+                  ? 0
+                  : 1;
+    }
+  }
+  const double Share =
+      Usable == 0 ? 1 : static_cast<double>(Busy) / static_cast<double>(Usable);
+  BusyShare += (Share - BusyShare) * BusyShareWeight;
+}
+
 void request_scheduler::recordServedCost(team_id Team, double Cost,
                                          instant Now) {
   TotalServedRate.add(Cost, Now);
@@ -145,6 +163,7 @@
 
 std::optional<upstream_id> request_scheduler::enqueue(queued_request Request,
                                                       instant Now) {
+  recordBusyShare(Now);
   // A request that arrives while others wait is queued behind them, so that it
   // does not overtake a team that has received less service.
   if (WaitingById.empty()) {
--- a/src/balance/request_scheduler.h
+++ b/src/balance/request_scheduler.h
@@ -92,6 +92,10 @@
   /// Removes and returns waiting requests whose dispatch deadline has passed.
   [[nodiscard]] std::vector<std::uint64_t> expireWaiting(instant Now);
 
+  /// Share of the upstreams without capacity, 0 to 1, as the latest requests
+  /// found them on their arrival.
+  [[nodiscard]] double busyShare() const noexcept { return BusyShare; }
+
   [[nodiscard]] std::size_t waitingCount() const noexcept {
     return WaitingById.size();
   }
@@ -132,6 +136,7 @@
   void recordResponseTime(const in_flight_request &Request,
                           const upstream_load &Load, upstream_result Result,
                           instant Now);
+  void recordBusyShare(instant Now);
   void recordServedCost(team_id Team, double Cost, instant Now);
   void clearPendingPrefill(in_flight_request &Request);
   [[nodiscard]] duration coldInterval(const upstream_load &Load) const;
@@ -150,6 +155,7 @@
   /// Cost dispatched per second, in total and per team.
   decayed_rate TotalServedRate;
   std::map<team_id, decayed_rate> TeamServedRates;
+  double BusyShare = 0;
   /// Time since which at least one request has been waiting.
   instant BackloggedSince{};
   /// Response time of plain upstreams. That of a model engine depends on the
--- a/src/traffic/slot_allocator.cpp
+++ b/src/traffic/slot_allocator.cpp
@@ -27,6 +27,15 @@
 /// Time past its dispatch deadline for which a queued request waits for the
 /// owner's reply.
 constexpr duration RefusalGrace = 50ms;
+/// Age up to which the reported load of a cell is used.
+constexpr duration CellLoadLifetime = 1s;
+/// Time for which an owner still receives snapshots after the last request of
+/// this router, so that one lost snapshot leaves no slot in use.
+constexpr duration SnapshotRetention = 3s;
+/// Prompts with a longer shared prefix go to one cell of the whole fleet:
+/// prefilling the prefix again in each failure domain would cost more than
+/// carrying the requests there.
+constexpr std::uint64_t MaxReplicatedPrefixTokens = 1'000;
 
 std::vector<balance::upstream_info>
 upstreamInfos(const store::traffic_view &Traffic, std::string_view Service) {
@@ -51,6 +60,14 @@
   return List;
 }
 
+std::string failureDomainOf(const std::vector<membership::live_node> &Nodes,
+                            node_id Node) {
+  const auto Found =
+      std::find_if(Nodes.begin(), Nodes.end(),
+                   [Node](const auto &Live) { return Live.Info.Node == Node; });
+  return Found == Nodes.end() ? std::string() : Found->Info.FailureDomain;
+}
+
 std::set<node_id> liveRouters(const std::vector<membership::live_node> &Nodes) {
   std::set<node_id> Live;
   for (const auto &Node : Nodes) {
@@ -90,6 +107,7 @@
   Nodes = State.Nodes;
   const instant Now = monotonic_clock::now();
   const auto Live = liveRouters(*Nodes);
+  FailureDomain = failureDomainOf(*Nodes, Self);
   LiveRouters = Live.size();
   std::vector<balance::cell> Owned;
   Cells.clear();
@@ -145,13 +163,37 @@
   startCheckTimer();
 }
 
+const balance::cell *slot_allocator::selectCell(const slot_request &Request,
+                                                instant Now) const {
+  const auto List = Cells.find(Request.Service);
+  if (List == Cells.end()) {
+    return nullptr;
+  }
+  const auto Affinity = affinityOf(Request);
+  if (balance::sharedPrefixTokens(Request.Prompt) > MaxReplicatedPrefixTokens) {
+    return balance::chooseCell(List->second, Affinity);
+  }
+  return balance::chooseNearCell(
+      List->second, Affinity, FailureDomain,
+      [&](const balance::cell &Cell) { return busyShare(Cell, Now); });
+}
+
+double slot_allocator::busyShare(const balance::cell &Cell, instant Now) const {
+  const auto Found = CellLoads.find(Cell.Key);
+  const bool Known = Found != CellLoads.end() &&
+                     Now - Found->second.ReportedAt <= CellLoadLifetime;
+  return Known ? Found->second.BusyShare : 0;
+}
+
+bool slot_allocator::wasUsedLately(const balance::cell_key &Cell,
+                                   instant Now) const {
+  const auto Found = CellUsedAt.find(Cell);
+  return Found != CellUsedAt.end() && Now - Found->second <= SnapshotRetention;
+}
+
 void slot_allocator::requestFromOwner(std::uint64_t Number, slot_entry &Entry) {
   const instant Now = monotonic_clock::now();
-  const auto List = Cells.find(Entry.Request.Service);
-  const auto *Cell =
-      List == Cells.end()
-          ? nullptr
-          : balance::chooseCell(List->second, affinityOf(Entry.Request));
+  const auto *Cell = selectCell(Entry.Request, Now);
   const auto Backoff = Cell == nullptr || !Cell->Owner
                            ? UnresponsiveUntil.end()
                            : UnresponsiveUntil.find(*Cell->Owner);
@@ -164,6 +206,7 @@
   Entry.Cell = Cell->Key;
   Entry.Owner = Cell->Owner;
   Entry.RequestedAt = Now;
+  CellUsedAt[Cell->Key] = Now;
   slot_request_message Message;
   Message.RequestNumber = Number;
   Message.Service = Cell->Key.Service;
@@ -219,6 +262,9 @@
   }
   UnresponsiveUntil.erase(From);
   auto &Entry = Found->second;
+  if (Reply.Decision != slot_decision::NotOwner) {
+    CellLoads[Entry.Cell] = {Reply.BusyShare, monotonic_clock::now()};
+  }
   switch (Reply.Decision) {
   case slot_decision::Queued:
     Entry.State = slot_state::QueuedByOwner;
@@ -340,9 +386,12 @@
         {Number, slot_event_kind::InUse, upstream_result::Ignored,
          Entry.Upstream ? number(*Entry.Upstream) : 0});
   }
+  const instant Now = monotonic_clock::now();
   for (const auto &[Service, List] : Cells) {
     for (const auto &Cell : List) {
-      if (!Cell.Owner) {
+      const bool Informed =
+          Messages.contains(Cell.Key) || wasUsedLately(Cell.Key, Now);
+      if (!Cell.Owner || !Informed) {
         continue;
       }
       auto &Message = Messages[Cell.Key];
--- a/src/traffic/slot_allocator.h
+++ b/src/traffic/slot_allocator.h
@@ -113,6 +113,17 @@
   };
   using slot_entry_map = std::unordered_map<std::uint64_t, slot_entry>;
 
+  struct cell_load {
+    double BusyShare = 0;
+    instant ReportedAt;
+  };
+
+  [[nodiscard]] const balance::cell *selectCell(const slot_request &Request,
+                                                instant Now) const;
+  [[nodiscard]] double busyShare(const balance::cell &Cell, instant Now) const;
+  /// True if the owner of the cell may hold state of this router's requests.
+  [[nodiscard]] bool wasUsedLately(const balance::cell_key &Cell,
+                                   instant Now) const;
   void requestFromOwner(std::uint64_t Number, slot_entry &Entry);
   void scheduleLocally(std::uint64_t Number, slot_entry &Entry);
   void onReply(node_id From, const slot_reply_message &Reply);
@@ -144,6 +155,12 @@
   std::size_t UngrantedCount = 0;
   slot_host CellHost;
   std::map<std::string, std::vector<balance::cell>, std::less<>> Cells;
+  /// Failure domain of this router; empty while the fleet does not list it.
+  std::string FailureDomain;
+  /// Load of the cells as their owners reported it with the latest reply.
+  std::map<balance::cell_key, cell_load> CellLoads;
+  /// Time of the latest slot request to each cell.
+  std::map<balance::cell_key, instant> CellUsedAt;
   /// Owners that did not reply. No slot requests are sent to them before this
   /// time.
   std::map<node_id, instant> UnresponsiveUntil;
--- a/src/traffic/slot_host.cpp
+++ b/src/traffic/slot_host.cpp
@@ -44,7 +44,7 @@
              {{"service", Key.Service}, {"cell", Key.Index}});
     for (const auto &[Id, Remote] : Hosted->RemoteById) {
       if (Hosted->Scheduler.cancel(Id)) {
-        Send(Remote.first, {Remote.second, slot_decision::NotOwner, 0, 0});
+        reply(*Hosted, Remote, slot_decision::NotOwner, 0);
       }
     }
   }
@@ -70,7 +70,7 @@
                           instant Now) {
   const auto Found = Cells.find({Request.Service, Request.Cell});
   if (Found == Cells.end()) {
-    Send(From, {Request.RequestNumber, slot_decision::NotOwner, 0, 0});
+    Send(From, {Request.RequestNumber, slot_decision::NotOwner, 0, 0, 0});
     return;
   }
   auto &Cell = *Found->second;
@@ -88,14 +88,14 @@
   }
   if (!Cell.Scheduler.canServeInTime(Queued, Now)) {
     eraseRequest(Cell, Queued.RequestId);
-    Send(From, {Request.RequestNumber, slot_decision::Refused, 0,
-                retryAfter(Cell.Scheduler, Queued, Now)});
+    reply(Cell, {From, Request.RequestNumber}, slot_decision::Refused, 0,
+          retryAfter(Cell.Scheduler, Queued, Now));
     return;
   }
   const auto Upstream = Cell.Scheduler.enqueue(std::move(Queued), Now);
-  Send(From, {Request.RequestNumber,
-              Upstream ? slot_decision::Granted : slot_decision::Queued,
-              Upstream ? number(*Upstream) : 0, 0});
+  reply(Cell, {From, Request.RequestNumber},
+        Upstream ? slot_decision::Granted : slot_decision::Queued,
+        Upstream ? number(*Upstream) : 0);
 }
 
 void slot_host::onEvents(node_id From, const slot_events_message &Message,
@@ -128,6 +128,13 @@
   return Sum;
 }
 
+void slot_host::reply(const hosted_cell &Cell, const remote_request &To,
+                      slot_decision Decision, std::uint32_t Upstream,
+                      std::int64_t RetryAfterUs) {
+  Send(To.first, {To.second, Decision, Upstream, RetryAfterUs,
+                  Cell.Scheduler.busyShare()});
+}
+
 void slot_host::applyEvent(hosted_cell &Cell, node_id From,
                            const slot_event &Event, instant Now) {
   const remote_request Key{From, Event.RequestNumber};
@@ -196,12 +203,11 @@
   for (const auto Id : Cell.Scheduler.expireWaiting(Now)) {
     const auto Remote = Cell.RemoteById.at(Id);
     eraseRequest(Cell, Id);
-    Send(Remote.first, {Remote.second, slot_decision::Refused, 0, 0});
+    reply(Cell, Remote, slot_decision::Refused, 0);
   }
   for (const auto &Ready : Cell.Scheduler.dispatchReady(Now)) {
     const auto &Remote = Cell.RemoteById.at(Ready.RequestId);
-    Send(Remote.first,
-         {Remote.second, slot_decision::Granted, number(Ready.Upstream), 0});
+    reply(Cell, Remote, slot_decision::Granted, number(Ready.Upstream));
   }
 }
 
--- a/src/traffic/slot_host.h
+++ b/src/traffic/slot_host.h
@@ -58,6 +58,10 @@
     std::unordered_map<std::uint64_t, remote_request> RemoteById;
   };
 
+  /// Replies to a slot request of this cell.
+  void reply(const hosted_cell &Cell, const remote_request &To,
+             slot_decision Decision, std::uint32_t Upstream,
+             std::int64_t RetryAfterUs = 0);
   void applyEvent(hosted_cell &Cell, node_id From, const slot_event &Event,
                   instant Now);
   void releaseUnlisted(hosted_cell &Cell, node_id From,
--- a/src/traffic/slot_messages.h
+++ b/src/traffic/slot_messages.h
@@ -47,8 +47,10 @@
   /// Only for `Refused`: time after which a new attempt may succeed; 0 if
   /// unknown.
   std::int64_t RetryAfterUs = 0;
+  /// Share of the cell's upstreams without capacity, 0 to 1.
+  double BusyShare = 0;
 
-  MSGPACK_DEFINE(RequestNumber, Decision, Upstream, RetryAfterUs)
+  MSGPACK_DEFINE(RequestNumber, Decision, Upstream, RetryAfterUs, BusyShare)
 };
 
 enum class slot_event_kind : int {
--- a/tests/balance/test_cell_map.cpp
+++ b/tests/balance/test_cell_map.cpp
@@ -148,3 +148,89 @@
   }
   CHECK(chooseCell({}, 1) == nullptr);
 }
+
+// Guards against requests and control messages that cross failure domains
+// although the own domain has an eligible router.
+TEST_CASE("a cell is owned by a router of its failure domain") {
+  struct row {
+    std::string What;
+    std::vector<std::string> RouterDomains;
+    std::map<std::string, std::string> OwnerDomainByCellDomain;
+  };
+  const std::vector<row> Rows = {
+      {"routers everywhere",
+       {"a", "b", "c", "a", "b", "c"},
+       {{"a", "a"}, {"b", "b"}, {"c", "c"}}},
+      {"a domain without routers",
+       {"a", "b", "a", "b", "a", "b"},
+       {{"a", "a"}, {"b", "b"}}},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    auto Nodes = routers(static_cast<std::uint32_t>(Row.RouterDomains.size()));
+    std::map<node_id, std::string> DomainOf;
+    for (std::size_t I = 0; I < Nodes.size(); ++I) {
+      Nodes[I].Info.FailureDomain = Row.RouterDomains[I];
+      DomainOf[Nodes[I].Info.Node] = Row.RouterDomains[I];
+    }
+    for (const auto &Cell : assignCells("s", upstreams(60), Nodes)) {
+      CAPTURE(Cell.Key.Index, Cell.FailureDomain);
+      REQUIRE(Cell.Owner);
+      const auto Wanted = Row.OwnerDomainByCellDomain.find(Cell.FailureDomain);
+      CHECK((Wanted == Row.OwnerDomainByCellDomain.end() ||
+             DomainOf[*Cell.Owner] == Wanted->second));
+    }
+  }
+}
+
+// Pattern: one failure domain has most of the callers. Guards against bodies
+// that cross domains without need, and against callers that wait in their
+// domain while the upstreams of the others are idle.
+TEST_CASE("requests leave their failure domain as its upstreams get busy") {
+  struct row {
+    std::string What;
+    double NearBusyShare;
+    double FarBusyShare;
+    bool NearUsable;
+    double MinNear;
+    double MaxNear;
+  };
+  const std::vector<row> Rows = {
+      {"idle", 0, 0, true, 1, 1},
+      {"a third busy", 0.33, 0, true, 1, 1},
+      {"mostly busy", 0.7, 0.2, true, 0.3, 0.7},
+      {"nearly all busy", 0.9, 0.2, true, 0.1, 0.3},
+      {"all busy", 1, 0.2, true, 0.05, 0.15},
+      {"the others are as busy", 1, 1, true, 1, 1},
+      {"no usable upstream", 0, 0, false, 0, 0},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    auto List = upstreams(60);
+    for (auto &Info : List) {
+      Info.Usable = Row.NearUsable || Info.FailureDomain != "b";
+    }
+    const auto Cells = assignCells("s", List, routers(12));
+    const auto BusyShare = [&](const cell &Cell) {
+      return Cell.FailureDomain == "b" ? Row.NearBusyShare : Row.FarBusyShare;
+    };
+    int Near = 0;
+    constexpr int Requests = 5'000;
+    for (std::uint64_t Affinity = 1; Affinity <= Requests; ++Affinity) {
+      const auto *Cell = chooseNearCell(Cells, Affinity * 7919, "b", BusyShare);
+      REQUIRE(Cell != nullptr);
+      Near += Cell->FailureDomain == "b" ? 1 : 0;
+      CHECK(chooseNearCell(Cells, Affinity * 7919, "b", BusyShare) == Cell);
+    }
+    CHECK(Near >= Row.MinNear * Requests);
+    CHECK(Near <= Row.MaxNear * Requests);
+  }
+}
+
+// A service with few upstreams has one cell for all domains.
+TEST_CASE("a cell of all failure domains is near to every caller") {
+  const auto Cells = assignCells("s", upstreams(12), routers(12));
+  const auto Busy = [](const cell &) { return 1.0; };
+  CHECK(chooseNearCell(Cells, 7, "a", Busy) == &Cells[0]);
+  CHECK(chooseNearCell(Cells, 7, "z", Busy) == &Cells[0]);
+}
--- a/tests/traffic/test_slot_allocator.cpp
+++ b/tests/traffic/test_slot_allocator.cpp
@@ -80,8 +80,10 @@
                     Sent.push_back({To, Kind, Payload});
                   }) {}
 
-  void request(std::uint64_t Id) {
+  void request(std::uint64_t Id,
+               std::vector<balance::prompt_block> Prompt = {}) {
     slot_request Request;
+    Request.Prompt = std::move(Prompt);
     Request.RequestId = Id;
     Request.Service = "s";
     Request.DispatchDeadline = monotonic_clock::now() + 30s;
@@ -182,3 +184,69 @@
   }
   CHECK(Router.Sent.empty());
 }
+
+// Pattern: a large service in several failure domains. Guards against request
+// bodies that cross domains, against a domain that stays overloaded while
+// others are idle, and against a long shared prefix that each domain prefills
+// anew.
+TEST_CASE(
+    "requests use the cells of their failure domain until they are busy") {
+  struct row {
+    std::string What;
+    std::uint64_t SharedTokens;
+    double ReportedBusyShare;
+    bool AllNear;
+  };
+  const std::vector<row> Rows = {
+      {"short prefix, idle", 300, 0, true},
+      {"short prefix, busy", 300, 1, false},
+      {"long prefix, idle", 6'000, 0, false},
+  };
+  constexpr std::uint32_t Upstreams = 40;
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    fixture Router({Self, Other}, Upstreams);
+    Router.Allocator.refreshRouting();
+    // Upstreams alternate between the domains "a" and "b"; the first cells are
+    // those of "a", where this router is.
+    constexpr std::uint32_t NearCells = 2;
+    std::size_t Near = 0;
+    constexpr std::uint64_t Requests = 60;
+    for (std::uint64_t Id = 1; Id <= Requests; ++Id) {
+      Router.request(Id, {{Id * 31, Row.SharedTokens}, {Id * 37, 900}});
+      const auto Message = Router.lastRequest();
+      Near += Message.Cell < NearCells ? 1 : 0;
+      slot_reply_message Reply;
+      Reply.RequestNumber = Message.RequestNumber;
+      Reply.Decision = slot_decision::Granted;
+      Reply.Upstream = 5;
+      Reply.BusyShare = Message.Cell < NearCells ? Row.ReportedBusyShare : 0;
+      Router.Allocator.onMessage(Other, net::message_kind::SlotReply,
+                                 encode(Reply));
+    }
+    CHECK((Near == Requests) == Row.AllNear);
+    CHECK(Near > 0);
+  }
+}
+
+// Pattern: hundreds of routers and tens of cells. Guards against control
+// traffic that grows with the product of both: an owner hears from the routers
+// that use its cell, not from all.
+TEST_CASE("only the owners of cells in use receive snapshots") {
+  fixture Router({Self, Other}, 40);
+  Router.Allocator.refreshRouting();
+  CHECK(Router.Sent.empty());
+  Router.request(1);
+  const auto Used = Router.lastRequest().Cell;
+  Router.Sent.clear();
+  const instant Deadline = monotonic_clock::now() + 20s;
+  while (Router.Sent.empty() && monotonic_clock::now() < Deadline) {
+    Router.Io.run_one();
+  }
+  REQUIRE_FALSE(Router.Sent.empty());
+  for (const auto &Message : Router.Sent) {
+    if (Message.Kind == net::message_kind::SlotEvents) {
+      CHECK(decode<slot_events_message>(Message.Payload).value().Cell == Used);
+    }
+  }
+}
