Wait for a cached prefix by how busy the engines are

Change: the weight grows from 2 to 10 with the square of the share of busy engines. Conclusion: kept, since it asks callers to wait only where waiting serves others.

--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -18,10 +18,11 @@
 /// running request slows the decoding steps of the others slightly.
 constexpr double RunningPenaltyTokens = 100;
 /// Extra penalty per prompt token that another engine has cached, on top of the
-/// prefill itself. A repeated prefill uses capacity that all callers share, so
-/// a request prefers to wait for the engine with the cached prompt, up to the
-/// length of a few prompt blocks.
-constexpr double CacheMissPenaltyPerToken = 8;
+/// prefill itself. A repeated prefill uses capacity that other callers wait for
+/// while most engines are busy, and costs them little while few are: a request
+/// then does not wait long for the engine with the cached prompt.
+constexpr double IdleCacheMissPenaltyPerToken = 2;
+constexpr double BusyCacheMissPenaltyPerToken = 10;
 /// Penalty of an engine whose requests all fail, in prompt tokens.
 constexpr double FailurePenaltyTokens = 20'000;
 /// Penalty of a plain upstream whose requests all fail, in requests per slot.
@@ -50,6 +51,12 @@
   return hash64(Name, Request.RequestId + Seed);
 }
 
+double cacheMissPenaltyPerToken(double BusyShare) {
+  return IdleCacheMissPenaltyPerToken +
+         (BusyCacheMissPenaltyPerToken - IdleCacheMissPenaltyPerToken) *
+             BusyShare * BusyShare;
+}
+
 bool isExcluded(const queued_request &Request, upstream_id Upstream) {
   return std::find(Request.Excluded.begin(), Request.Excluded.end(),
                    Upstream) != Request.Excluded.end();
@@ -390,7 +397,7 @@
                             ? Caches.MinUncached
                             : Load.Cache.uncachedTokens(Request.Prompt);
   return static_cast<double>(Load.PrefillTokens * SchedulerCount + Uncached) +
-         CacheMissPenaltyPerToken *
+         cacheMissPenaltyPerToken(BusyShare) *
              static_cast<double>(Uncached - Caches.MinUncached) +
          RunningPenaltyTokens * Requests +
          FailurePenaltyTokens * Load.FailureRate;
