--- a/tests/balance/test_prompt_placement.cpp
+++ b/tests/balance/test_prompt_placement.cpp
@@ -163,6 +163,71 @@
   }
 }
 
+// Pattern: one prefix is asked for while its engine prefills a prompt. Guards
+// against a request that waits although most engines are idle, and against one
+// that prefills the prefix again while others wait for every engine.
+TEST_CASE("a request waits for its prefix the longer the busier the engines") {
+  struct row {
+    std::string What;
+    std::uint32_t BusyEngines; ///< of eight, beside that with the prefix
+    bool Waits;
+  };
+  const std::vector<row> Rows = {
+      {"one busy engine", 0, false},
+      {"half of the engines busy", 3, false},
+      {"all but one busy", 6, true},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    request_scheduler Scheduler(1);
+    Scheduler.setUpstreams(engines(8), Start);
+    const auto Home =
+        Scheduler.enqueue(sessionRequest(1, 7, 500, Start), Start);
+    REQUIRE(Home);
+    Scheduler.onFirstByte(1);
+    std::uint64_t Id = 1;
+    // Occupies one engine with a prompt of this length.
+    const auto occupy = [&](upstream_id Engine, std::uint64_t Tokens) {
+      queued_request Long;
+      Long.RequestId = ++Id;
+      Long.Team = team_id{2};
+      Long.Prompt = {{hash64("long", Id), Tokens}};
+      for (std::uint32_t Other = 1; Other <= 8; ++Other) {
+        if (upstream_id{Other} != Engine) {
+          Long.Excluded.push_back(upstream_id{Other});
+        }
+      }
+      Long.DispatchDeadline = Start + 1s;
+      REQUIRE(Scheduler.enqueue(std::move(Long), Start));
+    };
+    occupy(*Home, 25'000);
+    std::uint32_t Busy = 0;
+    for (std::uint32_t Engine = 1; Engine <= 8 && Busy < Row.BusyEngines;
+         ++Engine) {
+      if (upstream_id{Engine} != *Home) {
+        occupy(upstream_id{Engine}, 25'000);
+        ++Busy;
+      }
+    }
+    // Short prompts let the scheduler measure how busy the engines are.
+    for (int I = 0; I < 60; ++I) {
+      queued_request Short;
+      Short.RequestId = ++Id;
+      Short.Team = team_id{3};
+      Short.Prompt = {{hash64("short", Id), 10}};
+      Short.DispatchDeadline = Start + 1s;
+      if (Scheduler.enqueue(std::move(Short), Start)) {
+        Scheduler.onFirstByte(Id);
+        Scheduler.complete(Id, upstream_result::Succeeded, Start);
+      }
+    }
+    const auto Upstream =
+        Scheduler.enqueue(sessionRequest(++Id, 7, 500, Start), Start);
+    CHECK(Upstream.has_value() != Row.Waits);
+    CHECK(Upstream != Home);
+  }
+}
+
 // Guards against capacity that is spent on prefixes that an engine has cached
 // already. Steady load of long prompts, with and without changes of the owner;
 // the users' target is a tenth of the shared tokens.
