Share the call of two tests of endless answers

Change: one function makes the call; checks as before, and the drip in the body now belongs to the call.

--- a/tests/balance/test_prompt_placement.cpp
+++ b/tests/balance/test_prompt_placement.cpp
@@ -187,7 +187,7 @@
     Scheduler.onFirstByte(1);
     std::uint64_t Id = 1;
     // Occupies one engine with a prompt of this length.
-    const auto occupy = [&](upstream_id Engine, std::uint64_t Tokens) {
+    const auto Occupy = [&](upstream_id Engine, std::uint64_t Tokens) {
       queued_request Long;
       Long.RequestId = ++Id;
       Long.Team = team_id{2};
@@ -200,12 +200,12 @@
       Long.DispatchDeadline = Start + 1s;
       REQUIRE(Scheduler.enqueue(std::move(Long), Start));
     };
-    occupy(*Home, 25'000);
+    Occupy(*Home, 25'000);
     std::uint32_t Busy = 0;
     for (std::uint32_t Engine = 1; Engine <= 8 && Busy < Row.BusyEngines;
          ++Engine) {
       if (upstream_id{Engine} != *Home) {
-        occupy(upstream_id{Engine}, 25'000);
+        Occupy(upstream_id{Engine}, 25'000);
         ++Busy;
       }
     }
--- a/tests/net/test_http_client.cpp
+++ b/tests/net/test_http_client.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <functional>
+#include <limits>
 #include <string>
 #include <thread>
 #include <vector>
@@ -292,6 +293,41 @@
   std::thread Thread;
 };
 
+struct endless_call_result {
+  call_outcome Outcome{};
+  std::size_t BodyBytes = 0;
+};
+
+/// Makes one call to the server and runs the loop until it ends.
+endless_call_result callEndless(endless_server &Server, duration Timeout,
+                                std::size_t MaxBodyBytes) {
+  asio::io_context Io;
+  http_client Client(Io);
+  endless_call_result Result;
+  bool Done = false;
+  http_call Call;
+  Call.Method = "GET";
+  Call.Url = Server.url();
+  Call.Timeout = Timeout;
+  Call.MaxBodyBytes = MaxBodyBytes;
+  Call.IsAnswer = [](const http_headers &Headers) {
+    return headerOf(Headers, "Id") == "7";
+  };
+  Call.OnBody = [&](std::string_view Bytes) {
+    Result.BodyBytes += Bytes.size();
+  };
+  Call.OnDone = [&](call_outcome Outcome) {
+    Result.Outcome = Outcome;
+    Done = true;
+  };
+  Client.start(std::move(Call));
+  while (!Done) {
+    Io.run_one();
+  }
+  Server.join();
+  return Result;
+}
+
 std::string repeated(std::string_view Text, std::size_t Count) {
   std::string Bytes;
   for (std::size_t I = 0; I < Count; ++I) {
@@ -344,31 +380,9 @@
   for (const auto &Row : Rows) {
     CAPTURE(Row.What);
     endless_server Server(Row.Begin, Row.Repeat, duration::zero());
-    asio::io_context Io;
-    http_client Client(Io);
-    bool Done = false;
-    std::size_t BodyBytes = 0;
-    call_outcome Outcome{};
-    http_call Call;
-    Call.Method = "GET";
-    Call.Url = Server.url();
-    Call.Timeout = 60s;
-    Call.MaxBodyBytes = MaxBodyBytes;
-    Call.IsAnswer = [](const http_headers &Headers) {
-      return headerOf(Headers, "Id") == "7";
-    };
-    Call.OnBody = [&](std::string_view Bytes) { BodyBytes += Bytes.size(); };
-    Call.OnDone = [&](call_outcome Ended) {
-      Outcome = Ended;
-      Done = true;
-    };
-    Client.start(std::move(Call));
-    while (!Done) {
-      Io.run_one();
-    }
-    Server.join();
-    CHECK(nameOf(Outcome) == nameOf(Row.Outcome));
-    CHECK(BodyBytes <= MaxBodyBytes);
+    const auto Result = callEndless(Server, 60s, MaxBodyBytes);
+    CHECK(nameOf(Result.Outcome) == nameOf(Row.Outcome));
+    CHECK(Result.BodyBytes <= MaxBodyBytes);
     CHECK(Server.SentBytes <= MaxSentBytes);
   }
 }
@@ -382,28 +396,13 @@
   };
   const std::vector<row> Rows = {
       {"in the head", "HTTP/1.1 200 OK\r\nA: "},
-      {"in the body", "HTTP/1.1 200 OK\r\n\r\n"},
+      {"in the body", "HTTP/1.1 200 OK\r\nId: 7\r\n\r\n"},
   };
   for (const auto &Row : Rows) {
     CAPTURE(Row.What);
     endless_server Server(Row.Begin, "1", 5ms);
-    asio::io_context Io;
-    http_client Client(Io);
-    bool Done = false;
-    call_outcome Outcome{};
-    http_call Call;
-    Call.Method = "GET";
-    Call.Url = Server.url();
-    Call.Timeout = 200ms;
-    Call.OnDone = [&](call_outcome Ended) {
-      Outcome = Ended;
-      Done = true;
-    };
-    Client.start(std::move(Call));
-    while (!Done) {
-      Io.run_one();
-    }
-    Server.join();
-    CHECK(nameOf(Outcome) == nameOf(call_outcome::DeadlinePassed));
+    const auto Result =
+        callEndless(Server, 200ms, std::numeric_limits<std::size_t>::max());
+    CHECK(nameOf(Result.Outcome) == nameOf(call_outcome::DeadlinePassed));
   }
 }
