--- a/tests/balance/test_prompt_placement.cpp
+++ b/tests/balance/test_prompt_placement.cpp
@@ -198,7 +198,8 @@
         }
       }
       Long.DispatchDeadline = Start + 1s;
-      REQUIRE(Scheduler.enqueue(std::move(Long), Start));
+      const auto Occupied = Scheduler.enqueue(std::move(Long), Start);
+      REQUIRE(Occupied);
     };
     Occupy(*Home, 25'000);
     std::uint32_t Busy = 0;
