Treat a caller that is behind its stream as gone

A caller that took no bytes made the router end the attempt as a failure of the upstream, which lowered the record of a healthy one and could resume the stream at another for a caller that does not read; the product's own interface had no bound at all. The outcome of a call that the router rejected was guessed after the fact from a flag. Ruled out: pausing the read from the upstream. Engines cut streams whose reader stalls, and the client has no pause. Change: above the bound both flows end the answer and handle the caller as disconnected, so the upstream's record stays; a call can be cancelled with the outcome AnswerBroken. Test: tests/net/test_http_server.cpp, a caller that reads nothing beside one that keeps up, and the next connection is served.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -67,7 +67,7 @@
   bool Closed = false;
 
   void begin(call_id Id);
-  void cancel(call_id Id);
+  void cancel(call_id Id, call_outcome Outcome);
   void keep(const std::string &Authority, const connection_ptr &Connection,
             instant Until);
   connection_ptr takeIdle(const std::string &Authority);
@@ -153,7 +153,7 @@
                     });
 }
 
-void http_client::state::cancel(call_id Id) {
+void http_client::state::cancel(call_id Id, call_outcome Outcome) {
   if (const auto It = Waiting.find(Id); It != Waiting.end()) {
     const auto OnDone = std::move(It->second.OnDone);
     Waiting.erase(It);
@@ -163,7 +163,7 @@
     return;
   }
   if (const auto It = Running.find(Id); It != Running.end()) {
-    It->second->abandon(call_outcome::Cancelled);
+    It->second->abandon(Outcome);
   }
 }
 
@@ -198,11 +198,11 @@
   return Id;
 }
 
-void http_client::cancel(call_id Id) {
-  asio::post(State->Io, [Self = State->weak_from_this(), Id] {
+void http_client::cancel(call_id Id, call_outcome Outcome) {
+  asio::post(State->Io, [Self = State->weak_from_this(), Id, Outcome] {
     const auto This = Self.lock();
     if (This && !This->Closed) {
-      This->cancel(Id);
+      This->cancel(Id, Outcome);
     }
   });
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -23,9 +23,10 @@
   /// Starts a call. `OnDone` is never called from inside `start`.
   call_id start(http_call Call);
 
-  /// Ends a call and closes its connection. `OnDone(Cancelled)` follows, from
-  /// the event loop. Unknown ids are ignored.
-  void cancel(call_id Id);
+  /// Ends a call and closes its connection. `OnDone(Outcome)` follows, from the
+  /// event loop: `AnswerBroken` if the answer is not acceptable. Unknown ids
+  /// are ignored.
+  void cancel(call_id Id, call_outcome Outcome = call_outcome::Cancelled);
 
 private:
   struct state;
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -3,11 +3,15 @@
 
 #include "net/http_message.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
 namespace arbutus::net {
 
+/// A caller that is this many bytes behind its stream is treated as gone.
+inline constexpr std::size_t MaxUnsentBytes = std::size_t{1} << 20U;
+
 /// One request and its answer. All calls are made on the shard's thread.
 /// Exactly one of `respond` or `beginStream`...`endStream` is used. Calls after
 /// the caller has gone are ignored.
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -22,6 +22,7 @@
 void enqueueRequest(const request_ptr &Request);
 void sendToUpstream(const request_ptr &Request, upstream_id Upstream);
 void failBeforeDispatch(const request_ptr &Request, request_error Error);
+void onCallerDisconnected(const request_ptr &Request);
 
 void logAttemptFailed(const routed_request &Request, net::call_outcome Outcome,
                       const retry_decision &Decision) {
@@ -157,6 +158,10 @@
       Request->Exchange->beginStream(200, Headers);
     }
     Request->Exchange->writeChunk(std::move(Forward));
+    if (Request->Exchange->unsentBytes() > net::MaxUnsentBytes) {
+      Request->Exchange->abort();
+      onCallerDisconnected(Request);
+    }
   }
   const std::uint64_t After = Request->Validator->tokens();
   if (Before / TokensPerCharge != After / TokensPerCharge) {
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -19,12 +19,11 @@
 
 /// Maximum size of a buffered response. A router with 88 MB buffers several.
 constexpr std::size_t MaxResponseBytes = std::size_t{4} << 20U;
-/// A stream ends when its caller is this many bytes behind.
-constexpr std::size_t MaxUnsentBytes = std::size_t{1} << 20U;
 constexpr int MinNonSuccessStatus = 300;
 constexpr int MinServerErrorStatus = 500;
 
 void enqueueRequest(const traffic_request_ptr &Request);
+void onCallerDisconnected(const traffic_request_ptr &Request);
 
 /// Classifies the outcome of an attempt for the scheduler.
 upstream_result upstreamResultOf(const traffic_request &Request,
@@ -111,9 +110,6 @@
 
 void onCallDone(const traffic_request_ptr &Request, net::call_outcome Outcome) {
   auto &Shard = Request->Shard;
-  if (Request->Attempt.Oversized && !Request->CallerDisconnected) {
-    Outcome = net::call_outcome::AnswerBroken; // cancelled by this router
-  }
   const auto UpstreamResult = upstreamResultOf(*Request, Outcome);
   if (Request->Attempt.ResponseInfo.Load) {
     Shard.Slots.onLoadReport(Request->Service, Request->Attempt.Upstream,
@@ -178,8 +174,11 @@
   }
   if (Request->isStream() && isSuccess(*Request) && isResponseValid(*Request)) {
     forwardEvents(*Request, Request->Events.append(Bytes));
-    Attempt.Oversized = Request->Events.isTooLong() ||
-                        Request->Exchange->unsentBytes() > MaxUnsentBytes;
+    Attempt.Oversized = Request->Events.isTooLong();
+    if (Request->Exchange->unsentBytes() > net::MaxUnsentBytes) {
+      Request->Exchange->abort();
+      onCallerDisconnected(Request);
+    }
   } else if (Attempt.Body.size() + Bytes.size() > MaxResponseBytes) {
     Attempt.Oversized = true;
   } else {
@@ -187,7 +186,8 @@
   }
   if (Attempt.Oversized) {
     Attempt.Body = {};
-    Request->Shard.Shard.Client.cancel(Attempt.Call);
+    Request->Shard.Shard.Client.cancel(Attempt.Call,
+                                       net::call_outcome::AnswerBroken);
   }
 }
 
--- a/tests/net/test_http_server.cpp
+++ b/tests/net/test_http_server.cpp
@@ -211,3 +211,58 @@
     Busy = false;
   }
 }
+
+// Pattern: an upstream streams without end. Guards against a router that keeps
+// what a caller does not read, and against one that ends a stream whose caller
+// keeps up.
+TEST_CASE("unsent bytes tell a caller that is behind from one that keeps up") {
+  struct row {
+    std::string What;
+    bool Reads;
+  };
+  constexpr std::size_t ChunkBytes = std::size_t{64} << 10U;
+  constexpr std::size_t Chunks = 256; // more than both sockets buffer
+  for (const auto &Row :
+       std::vector<row>{{"keeps up", true}, {"reads nothing", false}}) {
+    CAPTURE(Row.What);
+    asio::io_context Io;
+    const auto Port = freePort();
+    std::shared_ptr<http_exchange> Stream;
+    http_server Server(Io, optionsFor(Port), [&](const auto &Exchange) {
+      if (Stream) {
+        answerOk(Exchange);
+        return;
+      }
+      Stream = Exchange;
+      Stream->beginStream(200, {});
+    });
+    const int Caller = connectTo(Port);
+    ask(Caller);
+    while (!Stream) {
+      Io.run_one();
+    }
+    std::vector<char> Bytes(2 * ChunkBytes);
+    std::size_t Written = 0;
+    for (; Written < Chunks && Stream->unsentBytes() <= MaxUnsentBytes;
+         ++Written) {
+      Stream->writeChunk(std::string(ChunkBytes, 'x'));
+      const auto Deadline =
+          std::chrono::steady_clock::now() + std::chrono::seconds(20);
+      do {
+        Io.run_for(std::chrono::milliseconds(1));
+        while (Row.Reads &&
+               recv(Caller, Bytes.data(), Bytes.size(), MSG_DONTWAIT) > 0) {
+        }
+      } while (Row.Reads && Stream->unsentBytes() > 0 &&
+               std::chrono::steady_clock::now() < Deadline);
+    }
+    CHECK((Written == Chunks) == Row.Reads);
+    CHECK(Stream->unsentBytes() <= MaxUnsentBytes + ChunkBytes);
+    Stream->abort();
+    const int Next = connectTo(Port);
+    ask(Next);
+    CHECK(answered(Io, Next));
+    close(Next);
+    close(Caller);
+  }
+}
