Take work off the path of each request

Cause: read-through. Change: a cell carries its number of usable upstreams, which changes with the cell only; ties are broken when there is one; the weight of a token to read again is worked out once a selection; one map of cells in contact, pruned with the routing. Ruled out: another choice. The same cells and upstreams are selected; tests of balance and traffic are unchanged and pass (91,918 and 1,206 checks).

--- a/src/balance/cell_map.cpp
+++ b/src/balance/cell_map.cpp
@@ -105,8 +105,9 @@
       Cells.push_back(std::move(Cell));
     }
     for (const auto *Info : GroupUpstreams) {
-      Cells[rendezvousPick(Info->Name, First, Count)].Upstreams.push_back(
-          *Info);
+      auto &Cell = Cells[rendezvousPick(Info->Name, First, Count)];
+      Cell.Upstreams.push_back(*Info);
+      Cell.UsableCount += Info->Usable ? 1 : 0;
     }
     First += Count;
   }
@@ -118,15 +119,12 @@
   const cell *Best = nullptr;
   double BestScore = 0;
   for (const auto &Cell : Cells) {
-    const auto Usable =
-        std::count_if(Cell.Upstreams.begin(), Cell.Upstreams.end(),
-                      [](const auto &Info) { return Info.Usable; });
-    if (Usable == 0 || !Accept(Cell)) {
+    if (Cell.UsableCount == 0 || !Accept(Cell)) {
       continue;
     }
     // Weighted rendezvous hashing: cells receive requests in proportion to
     // their usable upstreams.
-    const double Score = static_cast<double>(Usable) /
+    const double Score = static_cast<double>(Cell.UsableCount) /
                          -std::log(uniform(rendezvousWeight(
                              Cell.Key.Service, Affinity + Cell.Key.Index)));
     if (Best == nullptr || Score > BestScore) {
--- a/src/balance/cell_map.h
+++ b/src/balance/cell_map.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "membership/node_session.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -32,6 +33,8 @@
 struct cell {
   cell_key Key;
   std::vector<upstream_info> Upstreams;
+  /// Number of upstreams that are usable.
+  std::size_t UsableCount = 0;
   /// Failure domain of the upstreams; empty if the cell has those of all.
   std::string FailureDomain;
   /// Router that schedules the cell; nothing while no eligible router is live.
--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -369,6 +369,10 @@
 request_scheduler::cache_estimate
 request_scheduler::estimateCaches(const queued_request &Request) const {
   cache_estimate Estimate;
+  if (Request.Prompt.empty()) {
+    return Estimate;
+  }
+  Estimate.MissPenaltyPerToken = cacheMissPenaltyPerToken(BusyShare);
   Estimate.Home = homeEngine(Request);
   if (number(Estimate.Home) != 0) {
     Estimate.MinUncached = Request.Prompt.back().Tokens;
@@ -397,7 +401,7 @@
                             ? Caches.MinUncached
                             : Load.Cache.uncachedTokens(Request.Prompt);
   return static_cast<double>(Load.PrefillTokens * SchedulerCount + Uncached) +
-         cacheMissPenaltyPerToken(BusyShare) *
+         Caches.MissPenaltyPerToken *
              static_cast<double>(Uncached - Caches.MinUncached) +
          RunningPenaltyTokens * Requests +
          FailurePenaltyTokens * Load.FailureRate;
@@ -417,7 +421,6 @@
   bool BestHasSpare = false;
   const upstream_load *Best = nullptr;
   double LowestPenalty = 0;
-  std::uint64_t BestRank = 0;
   for (const auto &[Id, Load] : Upstreams) {
     if (isExcluded(Request, Id) || !isEligible(Load, Now)) {
       continue;
@@ -427,13 +430,13 @@
       continue;
     }
     const double Penalty = selectionPenalty(Request, Load, Caches, Now);
-    const auto Rank = tieBreakRank(Request, Load.Info.Name, Seed);
     if (Best == nullptr || Spare != BestHasSpare || Penalty < LowestPenalty ||
-        (Penalty == LowestPenalty && Rank > BestRank)) {
+        (Penalty == LowestPenalty &&
+         tieBreakRank(Request, Load.Info.Name, Seed) >
+             tieBreakRank(Request, Best->Info.Name, Seed))) {
       BestHasSpare = Spare;
       Best = &Load;
       LowestPenalty = Penalty;
-      BestRank = Rank;
     }
   }
   // The best upstream is worth waiting for even while it is full.
--- a/src/balance/request_scheduler.h
+++ b/src/balance/request_scheduler.h
@@ -116,6 +116,8 @@
     upstream_id Home{};
     /// Fewest tokens that any engine has to prefill.
     std::uint64_t MinUncached = 0;
+    /// Penalty of each token that an engine prefills beyond these.
+    double MissPenaltyPerToken = 0;
   };
 
   [[nodiscard]] std::optional<upstream_id>
--- a/src/traffic/slot_allocator.cpp
+++ b/src/traffic/slot_allocator.cpp
@@ -124,6 +124,9 @@
       }
     }
   }
+  std::erase_if(CellContacts, [&](const auto &Entry) {
+    return !wasUsedLately(Entry.first, Now);
+  });
   CellHost.setOwnedCells(Owned, Now);
   CellHost.releaseDepartedRouters(Live, Now);
   CellHost.dispatchAll(Now);
@@ -179,16 +182,17 @@
 }
 
 double slot_allocator::busyShare(const balance::cell &Cell, instant Now) const {
-  const auto Found = CellLoads.find(Cell.Key);
-  const bool Known = Found != CellLoads.end() &&
-                     Now - Found->second.ReportedAt <= CellLoadLifetime;
+  const auto Found = CellContacts.find(Cell.Key);
+  const bool Known = Found != CellContacts.end() &&
+                     Now - Found->second.RepliedAt <= CellLoadLifetime;
   return Known ? Found->second.BusyShare : 0;
 }
 
 bool slot_allocator::wasUsedLately(const balance::cell_key &Cell,
                                    instant Now) const {
-  const auto Found = CellUsedAt.find(Cell);
-  return Found != CellUsedAt.end() && Now - Found->second <= SnapshotRetention;
+  const auto Found = CellContacts.find(Cell);
+  return Found != CellContacts.end() &&
+         Now - Found->second.RequestedAt <= SnapshotRetention;
 }
 
 void slot_allocator::requestFromOwner(std::uint64_t Number, slot_entry &Entry) {
@@ -206,7 +210,7 @@
   Entry.Cell = Cell->Key;
   Entry.Owner = Cell->Owner;
   Entry.RequestedAt = Now;
-  CellUsedAt[Cell->Key] = Now;
+  CellContacts[Cell->Key].RequestedAt = Now;
   slot_request_message Message;
   Message.RequestNumber = Number;
   Message.Service = Cell->Key.Service;
@@ -263,7 +267,9 @@
   UnresponsiveUntil.erase(From);
   auto &Entry = Found->second;
   if (Reply.Decision != slot_decision::NotOwner) {
-    CellLoads[Entry.Cell] = {Reply.BusyShare, monotonic_clock::now()};
+    auto &Contact = CellContacts[Entry.Cell];
+    Contact.BusyShare = Reply.BusyShare;
+    Contact.RepliedAt = monotonic_clock::now();
   }
   switch (Reply.Decision) {
   case slot_decision::Queued:
--- a/src/traffic/slot_allocator.h
+++ b/src/traffic/slot_allocator.h
@@ -113,9 +113,13 @@
   };
   using slot_entry_map = std::unordered_map<std::uint64_t, slot_entry>;
 
-  struct cell_load {
+  /// What this router knows of a cell from its own requests.
+  struct cell_contact {
+    /// Share of busy upstreams in the owner's latest reply.
     double BusyShare = 0;
-    instant ReportedAt;
+    instant RepliedAt;
+    /// Time of the latest slot request.
+    instant RequestedAt;
   };
 
   [[nodiscard]] const balance::cell *selectCell(const slot_request &Request,
@@ -157,10 +161,8 @@
   std::map<std::string, std::vector<balance::cell>, std::less<>> Cells;
   /// Failure domain of this router; empty while the fleet does not list it.
   std::string FailureDomain;
-  /// Load of the cells as their owners reported it with the latest reply.
-  std::map<balance::cell_key, cell_load> CellLoads;
-  /// Time of the latest slot request to each cell.
-  std::map<balance::cell_key, instant> CellUsedAt;
+  /// Cells that this router has sent requests to.
+  std::map<balance::cell_key, cell_contact> CellContacts;
   /// Owners that did not reply. No slot requests are sent to them before this
   /// time.
   std::map<node_id, instant> UnresponsiveUntil;
