--- a/bench/consensus.cpp
+++ b/bench/consensus.cpp
@@ -40,13 +40,7 @@
       };
     }
     const auto Result = Runner.run();
-    Totals.Steps += Result.Steps;
-    Totals.LeaderTerms += Result.LeaderTerms;
-    Totals.Acknowledged += Result.Acknowledged;
-    Totals.Reads += Result.Reads;
-    Totals.SnapshotRestores += Result.SnapshotRestores;
-    Totals.MembershipChanges += Result.MembershipChanges;
-    Totals.Crashes += Result.Crashes;
+    fake::addCounts(Totals, Result);
     if (!Result.Violation.empty()) {
       std::cout << "seed " << Seed << ": " << Result.Violation << "\n";
       if (++Violations == 1) {
--- a/tests/consensus/fault_schedule_runner.h
+++ b/tests/consensus/fault_schedule_runner.h
@@ -22,6 +22,17 @@
   std::uint64_t Crashes = 0;
 };
 
+/// Adds the counts of one schedule to a total.
+inline void addCounts(schedule_result &Total, const schedule_result &Result) {
+  Total.Steps += Result.Steps;
+  Total.LeaderTerms += Result.LeaderTerms;
+  Total.Acknowledged += Result.Acknowledged;
+  Total.Reads += Result.Reads;
+  Total.SnapshotRestores += Result.SnapshotRestores;
+  Total.MembershipChanges += Result.MembershipChanges;
+  Total.Crashes += Result.Crashes;
+}
+
 /// Probability per 1000 that each fault begins in one step of simulated time.
 struct fault_rates_per_mille {
   std::uint32_t Crash = 0;
--- a/tests/consensus/test_schedules.cpp
+++ b/tests/consensus/test_schedules.cpp
@@ -13,12 +13,7 @@
     const auto Result = fake::fault_schedule_runner(Seed).run();
     CAPTURE(Seed, Result.Violation);
     REQUIRE(Result.Violation.empty());
-    Sum.LeaderTerms += Result.LeaderTerms;
-    Sum.Acknowledged += Result.Acknowledged;
-    Sum.Reads += Result.Reads;
-    Sum.SnapshotRestores += Result.SnapshotRestores;
-    Sum.MembershipChanges += Result.MembershipChanges;
-    Sum.Crashes += Result.Crashes;
+    fake::addCounts(Sum, Result);
   }
   // Without activity the schedules would check nothing.
   CHECK(Sum.LeaderTerms > Schedules);
