Leave an upstream alone once it says that it is leaving

Cause: the list of instances was the only source. A router that had lost the leader, or whose list was late, ignored what the upstream itself had told it. Class of fault: data at hand is ignored in favour of older data from elsewhere.

Ruled out: that the list alone can do it; it lags, and a router that is cut off from the leader gets none for the time of its lease.

Change: the adapter decodes the announcement; the router remembers it for this run of the upstream (name and start time), excludes the upstream from further slots and checks it where it sends. While all upstreams of a service leave, callers are refused at once.

Shown: tests/platform/test_upstream_requests.cpp plays a router against scripted upstreams in one event loop.

--- a/src/traffic/platform_codec.h
+++ b/src/traffic/platform_codec.h
@@ -34,6 +34,8 @@
   bool NotRun = false;
   /// Another instance now has this address; the request was not executed.
   bool Misdirected = false;
+  /// The upstream has announced that it is shutting down.
+  bool Leaving = false;
   /// Load of the upstream, if reported.
   std::optional<balance::load_report> Load;
 };
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -152,12 +152,29 @@
   failRequest(Request, Decision.Error, Decision.Outcome);
 }
 
+/// Records what the response says about further requests to its upstream.
+void recordRestrictions(const traffic_request &Request, instant Now) {
+  const auto &Attempt = Request.Attempt;
+  auto &Restrictions = Request.Shard.Restrictions;
+  if (!Attempt.ResponseInfo.Leaving ||
+      Restrictions.isRestricted(upstreamRunOf(Attempt), Now)) {
+    return;
+  }
+  Restrictions.markLeaving(upstreamRunOf(Attempt), Now);
+  logEvent(log_level::Info, "upstream_leaving",
+           {{"upstream", Attempt.Instance},
+            {"request", Request.Caller.Id},
+            {"status", Attempt.Status}});
+}
+
 void onCallHeaders(const traffic_request_ptr &Request, int Status,
                    const net::http_headers &Headers) {
+  const instant Now = monotonic_clock::now();
   Request->Attempt.Status = Status;
   Request->Attempt.Headers = Headers;
-  Request->Attempt.ResponseInfo = Request->Shard.Codec.ParseResponseHeaders(
-      Status, Headers, monotonic_clock::now());
+  Request->Attempt.ResponseInfo =
+      Request->Shard.Codec.ParseResponseHeaders(Status, Headers, Now);
+  recordRestrictions(*Request, Now);
 }
 
 void onCallBody(const traffic_request_ptr &Request, std::string_view Bytes) {
@@ -191,6 +208,37 @@
   }
 }
 
+/// True if the instance may get a request now.
+bool isSendable(const traffic_shard &Shard,
+                const store::instance_entry &Instance, instant Now) {
+  return Instance.Usable && !Shard.Restrictions.isRestricted(
+                                {Instance.Name, Instance.Spec->StartedMs}, Now);
+}
+
+/// Upstreams that must not get the request: those that have failed it, and
+/// those of its service that want no requests of this router.
+std::vector<upstream_id> excludedUpstreams(const traffic_request &Request,
+                                           instant Now) {
+  auto Excluded = Request.Excluded;
+  const auto &Restrictions = Request.Shard.Restrictions;
+  if (Restrictions.size() == 0) {
+    return Excluded;
+  }
+  const auto View = Request.Shard.Context.Routing.read(
+      [](const router::routing_state &State) { return State.View; });
+  const auto &List = View->traffic().instances(Request.Service);
+  Restrictions.visit(Now, [&](const upstream_run &Restricted) {
+    const auto Found = std::lower_bound(
+        List.begin(), List.end(), Restricted.Name,
+        [](const auto &Entry, auto Name) { return Entry.Name < Name; });
+    if (Found != List.end() && Found->Name == Restricted.Name &&
+        Found->Spec->StartedMs == Restricted.StartedMs) {
+      Excluded.push_back(Found->Id);
+    }
+  });
+  return Excluded;
+}
+
 const store::instance_entry *findInstance(const store::traffic_view &Traffic,
                                           std::string_view Service,
                                           upstream_id Upstream) {
@@ -247,7 +295,7 @@
       [](const router::routing_state &State) { return State.View; });
   const auto *Instance =
       findInstance(View->traffic(), Request->Service, Upstream);
-  if (Instance == nullptr || !Instance->Usable) {
+  if (Instance == nullptr || !isSendable(Shard, *Instance, Now)) {
     releaseUnusedSlot(*Request);
     Request->Excluded.push_back(Upstream);
     enqueueRequest(Request);
@@ -260,6 +308,7 @@
   Request->Attempt = upstream_attempt{};
   Request->Attempt.Upstream = Upstream;
   Request->Attempt.Instance = Instance->Name;
+  Request->Attempt.InstanceStartedMs = Instance->Spec->StartedMs;
   Request->Attempt.SentAt = Now;
   Shard.Context.Metrics.observe(router::latency_stage::Waiting,
                                 Now - Request->Arrived);
@@ -286,7 +335,8 @@
 void enqueueRequest(const traffic_request_ptr &Request) {
   auto &Shard = Request->Shard;
   Request->Phase = request_phase::Waiting;
-  if (!Shard.Slots.hasUsableUpstream(Request->Service, Request->Excluded)) {
+  auto Excluded = excludedUpstreams(*Request, monotonic_clock::now());
+  if (!Shard.Slots.hasUsableUpstream(Request->Service, Excluded)) {
     failRequest(Request, request_error::NoUpstream, execution_outcome::NotRun);
     return;
   }
@@ -296,7 +346,7 @@
   SlotRequest.Team = Request->teamName();
   SlotRequest.Cost = Request->Cost;
   SlotRequest.Prompt = Request->Prompt;
-  SlotRequest.Excluded = Request->Excluded;
+  SlotRequest.Excluded = std::move(Excluded);
   SlotRequest.DispatchDeadline = Request->DispatchDeadline;
   SlotRequest.ResponseTarget = Request->ResponseTarget;
   slot_callbacks Callbacks;
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -9,6 +9,7 @@
 #include "traffic/platform_codec.h"
 #include "traffic/traffic_shard.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,6 +21,8 @@
 struct upstream_attempt {
   upstream_id Upstream{};
   std::string Instance; ///< copied, because the view may be replaced
+  /// Start time of the instance, see `store::instance`.
+  std::uint64_t InstanceStartedMs = 0;
   net::call_id Call{};
   instant SentAt;
   int Status = 0;
@@ -92,6 +95,12 @@
   }
 };
 
+/// The run of the upstream of an attempt. Valid as long as the attempt.
+[[nodiscard]] inline upstream_run
+upstreamRunOf(const upstream_attempt &Attempt) noexcept {
+  return {Attempt.Instance, Attempt.InstanceStartedMs};
+}
+
 using traffic_request_ptr = std::shared_ptr<traffic_request>;
 
 } // namespace arbutus::traffic
--- a/src/traffic/traffic_shard.h
+++ b/src/traffic/traffic_shard.h
@@ -7,6 +7,7 @@
 #include "traffic/platform_codec.h"
 #include "traffic/service_budgets.h"
 #include "traffic/slot_allocator.h"
+#include "traffic/upstream_restrictions.h"
 
 #include <memory>
 #include <vector>
@@ -37,6 +38,8 @@
   platform_codec Codec;
   service_budgets Retries;
   slot_allocator Slots;
+  /// What upstreams have asked of this router in their responses.
+  upstream_restrictions Restrictions;
   /// Requests of this shard. Expired pointers are removed when the size reaches
   /// `CleanupThreshold`.
   std::vector<std::weak_ptr<traffic_request>> Requests;
--- /dev/null
+++ b/src/traffic/upstream_restrictions.cpp
@@ -0,0 +1,44 @@
+#include "traffic/upstream_restrictions.h"
+
+namespace arbutus::traffic {
+
+namespace {
+
+/// Time for which a leaving upstream is remembered. An upstream that is still
+/// running then has to announce it again.
+constexpr duration LeavingRetention = 24h;
+
+} // namespace
+
+void upstream_restrictions::markLeaving(const upstream_run &Upstream,
+                                        instant Now) {
+  entryOf(Upstream, Now).LeavingUntil = Now + LeavingRetention;
+}
+
+bool upstream_restrictions::isRestricted(const upstream_run &Upstream,
+                                         instant Now) const {
+  const auto Found = Entries.find(Upstream.Name);
+  return Found != Entries.end() &&
+         Found->second.StartedMs == Upstream.StartedMs &&
+         isInForce(Found->second, Now);
+}
+
+bool upstream_restrictions::isInForce(const restriction &Entry,
+                                      instant Now) noexcept {
+  return Now < Entry.LeavingUntil;
+}
+
+upstream_restrictions::restriction &
+upstream_restrictions::entryOf(const upstream_run &Upstream, instant Now) {
+  std::erase_if(Entries, [Now](const auto &Entry) {
+    return !isInForce(Entry.second, Now);
+  });
+  auto &Entry = Entries[std::string(Upstream.Name)];
+  if (Entry.StartedMs != Upstream.StartedMs) {
+    Entry = {};
+    Entry.StartedMs = Upstream.StartedMs;
+  }
+  return Entry;
+}
+
+} // namespace arbutus::traffic
--- /dev/null
+++ b/tests/platform/test_upstream_requests.cpp
@@ -0,0 +1,66 @@
+#include "flow_fixture.h"
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::platform::testing;
+
+namespace {
+
+/// Sends requests until the upstream with this index has answered one.
+void requestUntilServedBy(flow_fixture &Router, std::size_t Index) {
+  while (Router.Upstreams[Index]->Requests == 0) {
+    REQUIRE(Router.request()->Status != 0);
+  }
+}
+
+} // namespace
+
+// Guards against requests to an upstream that has said in an answer that it is
+// leaving, while the list of instances still calls it ready.
+TEST_CASE("an upstream that says it is leaving gets no further request") {
+  struct row {
+    std::string Name;
+    std::string Status;
+    std::string Headers;
+  };
+  const std::vector<row> Rows = {
+      {"success", "200 OK", "Server-Leaving: 1\r\n"},
+      {"its own error", "500 X", "Server-Leaving: 1\r\n"},
+      {"refusal", "503 X", "Server-Leaving: 1\r\nNot-Executed: 1\r\n"},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    flow_fixture Router(
+        {}, {[&](const auto &Request) {
+               return answerTo(Request, Row.Status, Row.Headers);
+             },
+             [](const auto &Request) { return answerTo(Request, "200 OK"); }});
+    requestUntilServedBy(Router, 0);
+    for (int I = 0; I < 20; ++I) {
+      CHECK(Router.request()->Status == 200);
+    }
+    CHECK(Router.Upstreams[0]->Requests == 1);
+  }
+}
+
+// Guards against callers that wait although every upstream of their service is
+// leaving, and against a restarted upstream that is never used again.
+TEST_CASE("a request is refused at once while all upstreams are leaving") {
+  bool Leaving = true;
+  flow_fixture Router({}, {[&](const auto &Request) {
+                        return answerTo(Request, "200 OK",
+                                        Leaving ? "Server-Leaving: 1\r\n" : "");
+                      }});
+  CHECK(Router.request()->Status == 200);
+  CHECK(Router.request()->Status == 503);
+  CHECK(Router.Upstreams[0]->Requests == 1);
+  Leaving = false;
+  Router.applyRouting();
+  CHECK(Router.request()->Status == 503);
+  Router.StartedMs += 5'000;
+  Router.applyRouting();
+  CHECK(Router.request()->Status == 200);
+}
