End leases before the list of instances is too old

Cause, shown by a test: nothing bounded the age of the list by which routers send. A lease needed a recent revision, but the revision may reflect an old read: a new leader granted leases before it had read the list at all, and one whose reads or commits were late went on granting 2.8 s each. Class of fault: a lease that covers the replicated state but not the age of the outside data in it.

Ruled out: the rate limit of the list (1,500 calls a second on the large site, 42 on the small ones; a read takes 7 and 1).

Change: the leader notes when each read began and which revision reflects it. A lease ends before the read behind the router's revision is discovery.max_age_ms old (the platform's drain time), less 100 ms for the way to the upstream. While the server gives no whole list within a second and the own event loop is on time, the age does not count: the last list stays in use, since without it nothing could be served.

Shown: test_control "leases need a recent list of instances" on: 2 leases before any read, and leases went on for 3 s without one.

--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -4,7 +4,9 @@
 #include "base/log.h"
 #include "membership/voter_plan.h"
 
+#include <algorithm>
 #include <set>
+#include <string>
 
 namespace arbutus::control {
 
@@ -17,6 +19,8 @@
 /// are abandoned. A full lease and a safety margin have passed by then, so the
 /// owner can no longer hold a lease.
 constexpr duration ClaimOwnerTimeout = 3500ms;
+/// Time that a request may take from its router to its upstream.
+constexpr duration TransitTime = 100ms;
 constexpr duration PlacementInterval = 100ms;
 /// A new leader collects heartbeats for this long before it moves grantors.
 constexpr duration PlacementDelay = 700ms;
@@ -67,7 +71,8 @@
     Config.onPosition(From, Heartbeat.Position, Now);
     if (Config.isCurrentEnoughForLease(SessionHeartbeat.AppliedRevision, Store,
                                        Now)) {
-      Reply.LeaseUs = toMicros(Lease.Lease);
+      Reply.LeaseUs = toMicros(
+          limitLease(Lease.Lease, SessionHeartbeat.AppliedRevision, Now));
     }
   }
   Reply.NodesVersion = Sessions.nodesVersion();
@@ -81,6 +86,36 @@
   Send(From, net::message_kind::HeartbeatReply, encode(Reply));
 }
 
+duration leader_duties::limitLease(duration Lease, revision Applied,
+                                   instant Now) const {
+  if (!MaxInstanceAge) {
+    return Lease;
+  }
+  const auto Age = Instances.ageAt(Applied, Now);
+  if (!Age) {
+    return duration::zero();
+  }
+  return std::clamp(*MaxInstanceAge - TransitTime - *Age, duration::zero(),
+                    Lease);
+}
+
+void leader_duties::logInstanceAge(const store::state_machine &Store,
+                                   instant Now) {
+  if (!MaxInstanceAge) {
+    return;
+  }
+  const auto Age = Instances.ageAt(Store.currentRevision(), Now);
+  const bool Outdated = !Age || *Age >= *MaxInstanceAge;
+  if (Outdated == InstancesOutdated) {
+    return;
+  }
+  InstancesOutdated = Outdated;
+  logEvent(Outdated ? log_level::Warning : log_level::Info,
+           Outdated ? "instances_outdated" : "instances_current",
+           {{"term", Term},
+            {"age_us", Age ? std::to_string(toMicros(*Age)) : "unknown"}});
+}
+
 std::vector<store::command>
 leader_duties::tick(std::uint64_t NewTerm, const store::state_machine &Store,
                     instant Now) {
@@ -89,6 +124,7 @@
     startTerm(NewTerm, Store, Now);
   }
   handleSessionEvents(Commands, Now);
+  logInstanceAge(Store, Now);
   if (Sessions.nodesVersion() != SentNodesVersion) {
     SentNodesVersion = Sessions.nodesVersion();
     for (const auto &Node : Sessions.liveNodes()) {
@@ -148,6 +184,7 @@
   OwnerlessClaimsAbandoned = false;
   LastClaimExpiry = Now;
   Config.reset();
+  Instances.reset();
   std::vector<membership::prior_session> PriorSessions;
   for (const auto &[Node, Entry] : Contacts) {
     if (Entry.LastHeartbeat + ContactRetention >= Now) {
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -4,6 +4,7 @@
 #include "consensus/cluster_membership.h"
 #include "consensus/input.h"
 #include "control/config_pusher.h"
+#include "control/instance_freshness.h"
 #include "control/messages.h"
 #include "membership/grantor_placement.h"
 #include "membership/session_table.h"
@@ -25,8 +26,11 @@
   using send_function = std::function<void(node_id To, net::message_kind Kind,
                                            const std::string &Payload)>;
 
-  leader_duties(node_id Self, send_function Send)
-      : Self(Self), Send(std::move(Send)) {}
+  /// `MaxInstanceAge` bounds the age of the list of instances by which a router
+  /// may send requests; nothing if there is no discovery.
+  leader_duties(node_id Self, send_function Send,
+                std::optional<duration> MaxInstanceAge)
+      : Self(Self), Send(std::move(Send)), MaxInstanceAge(MaxInstanceAge) {}
 
   /// Records a heartbeat and sends the reply. `IsLeading` is true while the
   /// leader lease holds and the store is up to date; the reply may then grant a
@@ -53,6 +57,13 @@
   /// executed twice.
   [[nodiscard]] std::int64_t logTimeMs(instant Now) const noexcept;
 
+  /// The store holds the list of instances whose read began at `ReadAt`.
+  void onInstancesStored(instant ReadAt, revision Stored) {
+    Instances.onStored(ReadAt, Stored);
+  }
+  /// The server of the list of instances does not answer.
+  void onInstancesUnavailable() noexcept { Instances.onServerUnavailable(); }
+
   /// Stops the duties of the current term until the next `tick`.
   void endTerm() noexcept { Term = 0; }
 
@@ -67,6 +78,11 @@
     std::optional<consensus::data_directory_id> DirectoryId;
   };
 
+  /// Shortens a lease so that it ends before the router's list of instances is
+  /// too old.
+  [[nodiscard]] duration limitLease(duration Lease, revision Applied,
+                                    instant Now) const;
+  void logInstanceAge(const store::state_machine &Store, instant Now);
   void startTerm(std::uint64_t NewTerm, const store::state_machine &Store,
                  instant Now);
   void handleSessionEvents(std::vector<store::command> &Commands, instant Now);
@@ -78,8 +94,12 @@
 
   node_id Self;
   send_function Send;
+  std::optional<duration> MaxInstanceAge;
   membership::session_table Sessions;
   config_pusher Config;
+  instance_freshness Instances;
+  /// Limits the log to changes.
+  bool InstancesOutdated = false;
   std::map<node_id, node_contact> Contacts;
   std::uint64_t Term = 0;
   instant TermStart;
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -239,9 +239,8 @@
   Poller = std::make_unique<instance_poller>(
       Io, Settings.Discovery, *Adapter,
       [this] { return Voter->status().IsLeader; },
-      [this](std::vector<store::named_instance> Instances) {
-        Voter->postInstances(std::move(Instances));
-      });
+      [this](instance_list List) { Voter->postInstances(std::move(List)); },
+      [this] { Voter->postDiscoveryFailure(); });
   Poller->start();
 }
 
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -49,8 +49,7 @@
   void handleHeartbeat(const voter_frame &Frame, instant Now);
   void handleClaimRequest(const voter_frame &Frame, instant Now);
   void handleAdminRequest(const voter_frame &Frame, instant Now);
-  void
-  proposeInstanceChanges(const std::vector<store::named_instance> &Instances);
+  void proposeInstanceChanges(const instance_list &List, instant Now);
   void proposeMembershipChange(instant Now);
   void step(const consensus::input &Input, instant Now);
   void propose(instant Now);
@@ -90,7 +89,8 @@
   mutable std::mutex Mutex;
   std::condition_variable Wake;
   std::vector<voter_frame> Inbox;
-  std::optional<std::vector<store::named_instance>> PendingInstances;
+  std::optional<instance_list> PendingInstances;
+  bool DiscoveryFailed = false;
   bool Stopping = false;
   voter_status Status;
   std::thread Thread;
@@ -106,6 +106,12 @@
   return Options;
 }
 
+std::optional<duration> maxInstanceAge(const settings::settings &Settings) {
+  return Settings.Discovery.enabled()
+             ? std::optional<duration>(Settings.Discovery.MaxAge)
+             : std::nullopt;
+}
+
 } // namespace
 
 voter::state::state(const settings::settings &Settings,
@@ -116,7 +122,7 @@
       Send(Send), Log(std::move(Opened.Log)),
       Raft(raftOptions(Settings, Opened.DirectoryId), Opened.Recovered,
            std::mt19937_64(std::random_device{}()), monotonic_clock::now()),
-      Duties(Settings.Node.Id, Send) {
+      Duties(Settings.Node.Id, Send, maxInstanceAge(Settings)) {
   Status.DirectoryId = DirectoryId;
   recoverStore(Opened.Recovered);
   logEvent(log_level::Info, "voter_started",
@@ -186,7 +192,8 @@
 void voter::state::run() {
   while (true) {
     std::vector<voter_frame> Frames;
-    std::optional<std::vector<store::named_instance>> Instances;
+    std::optional<instance_list> Instances;
+    bool InstancesUnavailable = false;
     {
       std::unique_lock Lock(Mutex);
       Wake.wait_for(Lock, TickInterval,
@@ -196,6 +203,7 @@
       }
       Frames.swap(Inbox);
       Instances = std::exchange(PendingInstances, std::nullopt);
+      InstancesUnavailable = std::exchange(DiscoveryFailed, false);
     }
     instant Now = monotonic_clock::now();
     if (StorageFailed) {
@@ -227,7 +235,10 @@
         Queue.push_back({std::move(Command), {}});
       }
       if (Instances) {
-        proposeInstanceChanges(*Instances);
+        proposeInstanceChanges(*Instances, Now);
+      }
+      if (InstancesUnavailable) {
+        Duties.onInstancesUnavailable();
       }
       proposeMembershipChange(Now);
     } else {
@@ -288,7 +299,7 @@
   if (Command.has_value()) {
     Queue.push_back({std::move(Command.value()),
                      {command_requester::kind::Router, Frame.From,
-                      Message.value().Number}});
+                      Message.value().Number, instant{}}});
   }
 }
 
@@ -299,7 +310,8 @@
   }
   auto Plan = planAdminRequest(Request.value(), Store, Duties.liveNodes());
   const command_requester Requester{command_requester::kind::Operator,
-                                    Frame.From, Request.value().Number};
+                                    Frame.From, Request.value().Number,
+                                    instant{}};
   if (Plan.Command) {
     Queue.push_back({std::move(*Plan.Command), Requester});
     return;
@@ -310,16 +322,22 @@
   Send(Requester.Node, net::message_kind::ApiReply, encode(Reply));
 }
 
-void voter::state::proposeInstanceChanges(
-    const std::vector<store::named_instance> &Instances) {
+void voter::state::proposeInstanceChanges(const instance_list &List,
+                                          instant Now) {
   auto Diff = store::diffInstances(Store.list(store::resource_kind::Instance),
-                                   Instances);
+                                   List.Instances);
   if (!Diff) {
+    Duties.onInstancesStored(List.ReadAt, Store.currentRevision());
     return;
   }
   logEvent(log_level::Info, "instances_changed",
-           {{"changed", Diff->Changed.size()}, {"gone", Diff->Gone.size()}});
-  Queue.push_back({store::makeCommand(std::move(*Diff)), {}});
+           {{"changed", Diff->Changed.size()},
+            {"gone", Diff->Gone.size()},
+            {"age_us", toMicros(Now - List.ReadAt)}});
+  command_requester Requester;
+  Requester.Kind = command_requester::kind::Discovery;
+  Requester.ReadAt = List.ReadAt;
+  Queue.push_back({store::makeCommand(std::move(*Diff)), Requester});
 }
 
 void voter::state::proposeMembershipChange(instant Now) {
@@ -457,6 +475,9 @@
     Send(Requester.Node, net::message_kind::ClaimReply, encode(Reply));
     return;
   }
+  case command_requester::kind::Discovery:
+    Duties.onInstancesStored(Requester.ReadAt, Store.currentRevision());
+    return;
   case command_requester::kind::Operator: {
     auto Response = toApiResponse(Outcome);
     const api_reply_message Reply{Requester.Number,
@@ -557,10 +578,19 @@
   State->Wake.notify_one();
 }
 
-void voter::postInstances(std::vector<store::named_instance> Instances) {
+void voter::postInstances(instance_list List) {
+  {
+    const std::lock_guard Lock(State->Mutex);
+    State->PendingInstances = std::move(List);
+    State->DiscoveryFailed = false;
+  }
+  State->Wake.notify_one();
+}
+
+void voter::postDiscoveryFailure() {
   {
     const std::lock_guard Lock(State->Mutex);
-    State->PendingInstances = std::move(Instances);
+    State->DiscoveryFailed = true;
   }
   State->Wake.notify_one();
 }
--- a/src/control/voter.h
+++ b/src/control/voter.h
@@ -3,16 +3,15 @@
 
 #include "base/ids.h"
 #include "consensus/cluster_membership.h"
+#include "control/instance_list.h"
 #include "net/message_kind.h"
 #include "settings/settings.h"
 #include "storage/file_operations.h"
 #include "storage/storage_error.h"
-#include "store/commands.h"
 
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace arbutus::control {
 
@@ -67,7 +66,11 @@
 
   /// Queues the list of instances that discovery has read. A voter that does
   /// not lead ignores it. Thread-safe.
-  void postInstances(std::vector<store::named_instance> Instances);
+  void postInstances(instance_list List);
+
+  /// Notes that the server of the list of instances does not answer.
+  /// Thread-safe.
+  void postDiscoveryFailure();
 
   [[nodiscard]] voter_status status() const;
 
--- a/src/control/voter_queue.h
+++ b/src/control/voter_queue.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_CONTROL_VOTER_QUEUE_H
 #define ARBUTUS_CONTROL_VOTER_QUEUE_H
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "store/commands.h"
 
@@ -9,13 +10,15 @@
 
 namespace arbutus::control {
 
-/// Node that gets the outcome of a proposed command. `None` is for commands of
-/// the leader itself.
+/// Who is told of a command's outcome. `None` is for commands of the leader
+/// itself; `Discovery` for those that store a list of instances.
 struct command_requester {
-  enum class kind { None, Router, Operator };
+  enum class kind { None, Router, Operator, Discovery };
   kind Kind = kind::None;
   node_id Node{};
   std::uint64_t Number = 0;
+  /// Only for `Discovery`: when the read of the list began.
+  instant ReadAt;
 };
 
 /// A command that the next log entry will hold.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -28,6 +28,7 @@
 constexpr impl::integer_range PortRange{1, 65535};
 constexpr impl::integer_range AddressTtlMsRange{100, 3600000};
 constexpr impl::integer_range PollIntervalMsRange{50, 60000};
+constexpr impl::integer_range MaxAgeMsRange{1000, 600000};
 constexpr impl::integer_range RetrySlackRange{0, 1000000};
 constexpr std::size_t Sha256HexDigits = 64;
 /// Bounds the memory used when the path names another file by mistake.
@@ -226,6 +227,13 @@
   assign(
       Discovery.PollInterval,
       Reader.integer("interval_ms", PollIntervalMsRange, presence::Optional));
+  assign(Discovery.MaxAge,
+         Reader.integer("max_age_ms", MaxAgeMsRange, presence::Optional));
+  // Between two polls the list grows older by the interval and the poll itself.
+  if (Discovery.MaxAge < 2 * Discovery.PollInterval) {
+    Reader.addError("max_age_ms", code::InvalidValue,
+                    "must be at least twice discovery.interval_ms");
+  }
   Reader.reportUnknownKeys();
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -88,6 +88,9 @@
   endpoint Server;
   /// Time from the end of one poll of the whole list to the next.
   std::chrono::milliseconds PollInterval{400};
+  /// Age of the list up to which routers send requests by it. The platform
+  /// keeps an upstream that it calls draining alive for longer.
+  std::chrono::milliseconds MaxAge{3000};
 
   [[nodiscard]] bool enabled() const noexcept { return !Server.empty(); }
 };
--- a/tests/control/test_voter.cpp
+++ b/tests/control/test_voter.cpp
@@ -37,10 +37,11 @@
   return Files;
 }
 
-/// Three voters in one process that exchange frames by function calls.
+/// Three voters in one process that exchange frames by function calls. With
+/// discovery, the leader waits for a list of instances.
 class voter_group {
 public:
-  voter_group() {
+  explicit voter_group(bool WithDiscovery = false) {
     std::string Pattern =
         (std::filesystem::temp_directory_path() / "voters-XXXXXX").string();
     Folder = ::mkdtemp(Pattern.data());
@@ -49,6 +50,9 @@
       Settings.Node.Id = node_id{Id};
       Settings.Node.IsControl = true;
       Settings.Node.DataDirectory = Folder / std::to_string(Id);
+      if (WithDiscovery) {
+        Settings.Discovery.Server = {"127.0.0.1", 9};
+      }
       for (std::uint32_t Other = 1; Other <= Voters; ++Other) {
         Settings.Fleet.InitialVoters.push_back({node_id{Other}, {}});
       }
@@ -88,6 +92,14 @@
     }
   }
 
+  /// Gives every voter a list of instances that was read now.
+  void postInstances(const std::vector<store::named_instance> &Instances) {
+    const std::lock_guard Lock(Mutex);
+    for (const auto &[Id, Voter] : Group) {
+      Voter->postInstances({monotonic_clock::now(), Instances});
+    }
+  }
+
   [[nodiscard]] voter_status statusOf(std::uint32_t Id) {
     const std::lock_guard Lock(Mutex);
     return Group.at(node_id{Id})->status();
@@ -97,6 +109,8 @@
   std::array<std::atomic<bool>, Voters> DiskFull{};
   std::atomic<int> Replies{0};
   std::atomic<int> Leases{0};
+  /// Replies of a leader, with a lease or without.
+  std::atomic<int> LeaderReplies{0};
   /// Node lists that were sent without a heartbeat.
   std::atomic<int> UnsolicitedNodeLists{0};
   std::atomic<std::uint64_t> NodesTerm{0};
@@ -126,6 +140,7 @@
         UnsolicitedNodeLists += Reply.SendTimeUs == 0 ? 1 : 0;
       }
       Leases += Reply.LeaseUs > 0 ? 1 : 0;
+      LeaderReplies += Reply.FromLeader && Reply.SendTimeUs != 0 ? 1 : 0;
     }
   }
 
@@ -196,6 +211,42 @@
   CHECK(Group.UnsolicitedNodeLists - Before < Changes / 4);
 }
 
+// Guards against leases by a list of instances that is too old: a new leader
+// that has not read the list, or whose reads are late, must not let routers go
+// on sending to upstreams that have begun to drain.
+TEST_CASE("leases need a recent list of instances") {
+  voter_group Group(true);
+  const auto SendHeartbeat = [&] {
+    Group.send(net::message_kind::Heartbeat, heartbeatFrame(Group));
+  };
+  const auto AwaitLeaderReplies = [&](int Count) {
+    const int Before = Group.LeaderReplies;
+    REQUIRE(repeatUntil(SendHeartbeat,
+                        [&] { return Group.LeaderReplies >= Before + Count; }));
+  };
+  AwaitLeaderReplies(2);
+  CHECK(Group.Leases == 0);
+  REQUIRE(repeatUntil(
+      [&] {
+        Group.postInstances({});
+        SendHeartbeat();
+      },
+      [&] { return Group.Leases > 0; }));
+  const instant Outdated =
+      monotonic_clock::now() + settings::discovery_settings{}.MaxAge;
+  REQUIRE(repeatUntil(SendHeartbeat,
+                      [&] { return monotonic_clock::now() >= Outdated; }));
+  const int Before = Group.Leases;
+  AwaitLeaderReplies(2);
+  CHECK(Group.Leases == Before);
+  REQUIRE(repeatUntil(
+      [&] {
+        Group.postInstances({});
+        SendHeartbeat();
+      },
+      [&] { return Group.Leases > Before; }));
+}
+
 // Guards against a voter that stays out of the group after its disk was full
 // until its process is restarted. Two disks that fill up one after the other
 // would then leave no majority although both have room again.
