Check lease and upstream again before a request is written

Cause: a request was checked when its slot was granted.

Change: http_call::MayWrite is asked when the connection is there. A withheld request counts as no attempt and looks for another upstream; that search uses the routing state of now, not of its arrival.

Shown: "a request is checked again when its connection is there" changes the list or the lease between the grant and the connection.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -174,6 +174,10 @@
 }
 
 void client_connection::write() {
+  if (Call.MayWrite && !Call.MayWrite()) {
+    end(call_outcome::NothingSent);
+    return;
+  }
   Writing = true;
   AnySent = true;
   asio::async_write(Socket, asio::buffer(Request),
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -31,6 +31,9 @@
   duration ConnectTimeout = 500ms;
   duration Timeout = 60s; ///< for the whole call
 
+  /// Asked when the connection is there, right before the request is written.
+  /// False ends the call with `NothingSent`.
+  std::function<bool()> MayWrite;
   /// Says whether an answer belongs to this call. A server may send an extra
   /// answer late on a kept connection; such a one is skipped, and the next is
   /// waited for. Every answer belongs to the call when this is empty.
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -108,7 +108,26 @@
   enqueueRequest(Request);
 }
 
+/// Requests another slot for a request that was not sent after all.
+void requeueWithheld(const traffic_request_ptr &Request) {
+  Request->Shard.Slots.release(Request->Id, upstream_result::Ignored);
+  if (Request->Phase == request_phase::Finished) {
+    return; // aborted
+  }
+  if (Request->CallerDisconnected) {
+    completeDisconnected(Request);
+    return;
+  }
+  --Request->Attempts;
+  Request->Excluded.push_back(Request->Attempt.Upstream);
+  enqueueRequest(Request);
+}
+
 void onCallDone(const traffic_request_ptr &Request, net::call_outcome Outcome) {
+  if (Request->Attempt.Withheld) {
+    requeueWithheld(Request);
+    return;
+  }
   auto &Shard = Request->Shard;
   const auto UpstreamResult = upstreamResultOf(*Request, Outcome);
   if (Request->Attempt.ResponseInfo.Load) {
@@ -208,6 +227,14 @@
   }
 }
 
+/// The view in force, which includes instances that were added or removed since
+/// a request arrived.
+std::shared_ptr<const store::config_view>
+currentView(const traffic_shard &Shard) {
+  return Shard.Context.Routing.read(
+      [](const router::routing_state &State) { return State.View; });
+}
+
 /// True if the instance may get a request now.
 bool isSendable(const traffic_shard &Shard,
                 const store::instance_entry &Instance, instant Now) {
@@ -224,8 +251,7 @@
   if (Restrictions.size() == 0) {
     return Excluded;
   }
-  const auto View = Request.Shard.Context.Routing.read(
-      [](const router::routing_state &State) { return State.View; });
+  const auto View = currentView(Request.Shard);
   const auto &List = View->traffic().instances(Request.Service);
   Restrictions.visit(Now, [&](const upstream_run &Restricted) {
     const auto Found = std::lower_bound(
@@ -249,6 +275,19 @@
   return It == List.end() ? nullptr : &*It;
 }
 
+/// True if the request may still be written to its upstream. Connecting takes
+/// time, in which the lease may end or the upstream may begin to drain.
+bool mayWrite(traffic_request &Request) {
+  const instant Now = monotonic_clock::now();
+  const auto View = currentView(Request.Shard);
+  const auto *Instance =
+      findInstance(View->traffic(), Request.Service, Request.Attempt.Upstream);
+  Request.Attempt.Withheld = !router::holdsLease(Request.Shard.Context, Now) ||
+                             Instance == nullptr ||
+                             !isSendable(Request.Shard, *Instance, Now);
+  return !Request.Attempt.Withheld;
+}
+
 net::http_call makeCall(const traffic_request_ptr &Request,
                         const store::instance_entry &Instance, instant Now) {
   net::http_call Call;
@@ -261,6 +300,7 @@
                                            Call.Timeout,
                                            Request->Events.lastId()},
                                           Call.Headers);
+  Call.MayWrite = [Request] { return mayWrite(*Request); };
   Call.IsAnswer = [Request](const net::http_headers &Headers) {
     return Request->Shard.Codec.IsResponseTo(Headers, Request->Caller.Id);
   };
@@ -289,10 +329,7 @@
     failRequest(Request, request_error::NotServing, execution_outcome::NotRun);
     return;
   }
-  // The current view includes instances that were added or removed since the
-  // request arrived.
-  const auto View = Shard.Context.Routing.read(
-      [](const router::routing_state &State) { return State.View; });
+  const auto View = currentView(Shard);
   const auto *Instance =
       findInstance(View->traffic(), Request->Service, Upstream);
   if (Instance == nullptr || !isSendable(Shard, *Instance, Now)) {
@@ -335,6 +372,7 @@
 void enqueueRequest(const traffic_request_ptr &Request) {
   auto &Shard = Request->Shard;
   Request->Phase = request_phase::Waiting;
+  Shard.Slots.refreshRouting();
   auto Excluded = excludedUpstreams(*Request, monotonic_clock::now());
   if (!Shard.Slots.hasUsableUpstream(Request->Service, Excluded)) {
     failRequest(Request, request_error::NoUpstream, execution_outcome::NotRun);
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -31,6 +31,8 @@
   std::string Body; ///< of responses that are not streamed
   bool FirstByte = false;
   bool Oversized = false;
+  /// It was not sent, because its upstream became unusable meanwhile.
+  bool Withheld = false;
 };
 
 /// A request that is routed by host and path, from admission to its response.
--- a/tests/platform/flow_fixture.h
+++ b/tests/platform/flow_fixture.h
@@ -5,11 +5,14 @@
 #include "recorded_exchange.h"
 #include "scripted_upstream.h"
 #include "traffic/traffic_flow.h"
+#include "traffic/traffic_request.h"
 #include <asio/post.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +57,9 @@
 
   /// Start time that the list of instances gives for all of them.
   std::uint64_t StartedMs = 1'000;
+  /// Indexes of instances that the list calls draining, or does not have.
+  std::set<std::size_t> Draining;
+  std::set<std::size_t> Hidden;
 
   /// Replaces the router's configuration and instances.
   void applyRouting() {
@@ -61,12 +67,17 @@
     Update.Full = true;
     Update.Objects.push_back(object("fleet", 0, {Config}));
     for (std::size_t I = 0; I < Upstreams.size(); ++I) {
+      if (Hidden.contains(I)) {
+        continue;
+      }
       store::instance Instance;
       Instance.Service = "s";
       Instance.Address = Upstreams[I]->address();
       Instance.FailureDomain = "a";
       Instance.Slots = 4;
       Instance.StartedMs = StartedMs;
+      Instance.State = Draining.contains(I) ? store::upstream_state::Leaving
+                                            : store::upstream_state::In;
       Update.Objects.push_back(object(
           instanceName(I), static_cast<std::uint32_t>(5 + I), {Instance}));
     }
@@ -106,6 +117,15 @@
     }
   }
 
+  /// True while a request has a slot at an upstream.
+  [[nodiscard]] bool isCalling() const {
+    return std::any_of(
+        Traffic.Requests.begin(), Traffic.Requests.end(), [](const auto &Weak) {
+          const auto Request = Weak.lock();
+          return Request && Request->Phase == router::request_phase::Calling;
+        });
+  }
+
   /// Sends a request and waits for its end.
   std::shared_ptr<recorded_exchange> request(net::http_headers Headers = {}) {
     auto Exchange = start(std::move(Headers));
--- a/tests/platform/test_upstream_requests.cpp
+++ b/tests/platform/test_upstream_requests.cpp
@@ -1,6 +1,7 @@
 #include "flow_fixture.h"
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -64,3 +65,45 @@
   Router.applyRouting();
   CHECK(Router.request()->Status == 200);
 }
+
+// Guards against a request that is written to an upstream that has begun to
+// drain, or without a lease, because only the time of the grant was looked at
+// and connecting took a while.
+TEST_CASE("a request is checked again when its connection is there") {
+  struct row {
+    std::string Name;
+    std::function<void(flow_fixture &)> Change;
+    int Status;
+  };
+  const std::vector<row> Rows = {
+      {"the upstream drains",
+       [](auto &Router) {
+         Router.Draining = {0};
+         Router.applyRouting();
+       },
+       200},
+      {"the upstream is not listed any more",
+       [](auto &Router) {
+         Router.Hidden = {0};
+         Router.applyRouting();
+       },
+       200},
+      {"the lease has ended",
+       [](auto &Router) { Router.Context.LeaseUntilUs = 0; }, 503},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    flow_fixture Router(
+        {}, {[](const auto &Request) { return answerTo(Request, "200 OK"); },
+             [](const auto &Request) { return answerTo(Request, "200 OK"); }});
+    Router.Hidden = {1};
+    Router.applyRouting();
+    const auto Exchange = Router.start();
+    Router.runUntil([&] { return Router.isCalling(); });
+    Router.Hidden = {};
+    Row.Change(Router);
+    Router.runUntil([&] { return Exchange->Ended; });
+    CHECK(Exchange->Status == Row.Status);
+    CHECK(Router.Upstreams[0]->Requests == 0);
+  }
+}
