Leave an upstream alone for the time that it names when it refuses

The router only backed off for 100 ms and sent again; the header reached the caller at most.

Change: the time is kept with the other restrictions of this router and checked where it sends. If all upstreams of a service have asked for a pause, callers are refused at once and told the shortest remaining time.

Shown: on "an upstream that names a Retry-After is left alone until then" fails for whole seconds and for a fraction (more than one of 41 requests arrived), and "a pause of all upstreams is passed on to callers and ends" sends a second request. Other statuses and unreadable times do not pause an upstream.

--- a/src/traffic/platform_codec.h
+++ b/src/traffic/platform_codec.h
@@ -36,6 +36,9 @@
   bool Misdirected = false;
   /// The upstream has announced that it is shutting down.
   bool Leaving = false;
+  /// The upstream refuses the request and wants none from this router for this
+  /// long.
+  std::optional<duration> RetryAfter;
   /// Load of the upstream, if reported.
   std::optional<balance::load_report> Load;
 };
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -174,16 +174,21 @@
 /// Records what the response says about further requests to its upstream.
 void recordRestrictions(const traffic_request &Request, instant Now) {
   const auto &Attempt = Request.Attempt;
+  const auto &Info = Attempt.ResponseInfo;
   auto &Restrictions = Request.Shard.Restrictions;
-  if (!Attempt.ResponseInfo.Leaving ||
-      Restrictions.isRestricted(upstreamRunOf(Attempt), Now)) {
-    return;
+  if (Info.RetryAfter) {
+    Restrictions.pause(upstreamRunOf(Attempt), Now + *Info.RetryAfter, Now);
+    logEvent(log_level::Info, "upstream_paused",
+             {{"upstream", Attempt.Instance},
+              {"request", Request.Caller.Id},
+              {"pause_us", toMicros(*Info.RetryAfter)}});
+  }
+  if (Info.Leaving && Restrictions.markLeaving(upstreamRunOf(Attempt), Now)) {
+    logEvent(log_level::Info, "upstream_leaving",
+             {{"upstream", Attempt.Instance},
+              {"request", Request.Caller.Id},
+              {"status", Attempt.Status}});
   }
-  Restrictions.markLeaving(upstreamRunOf(Attempt), Now);
-  logEvent(log_level::Info, "upstream_leaving",
-           {{"upstream", Attempt.Instance},
-            {"request", Request.Caller.Id},
-            {"status", Attempt.Status}});
 }
 
 void onCallHeaders(const traffic_request_ptr &Request, int Status,
@@ -242,24 +247,32 @@
                                 {Instance.Name, Instance.Spec->StartedMs}, Now);
 }
 
-/// Upstreams that must not get the request: those that have failed it, and
-/// those of its service that want no requests of this router.
-std::vector<upstream_id> excludedUpstreams(const traffic_request &Request,
-                                           instant Now) {
-  auto Excluded = Request.Excluded;
+/// Upstreams that must not get a request.
+struct excluded_upstreams {
+  std::vector<upstream_id> Ids;
+  /// When the first of those that want no requests may be used again.
+  instant FirstUsable = instant::max();
+};
+
+/// Excludes the upstreams that have failed the request, and those of its
+/// service that want no requests of this router.
+excluded_upstreams excludedUpstreams(const traffic_request &Request,
+                                     instant Now) {
+  excluded_upstreams Excluded{Request.Excluded};
   const auto &Restrictions = Request.Shard.Restrictions;
   if (Restrictions.size() == 0) {
     return Excluded;
   }
   const auto View = currentView(Request.Shard);
   const auto &List = View->traffic().instances(Request.Service);
-  Restrictions.visit(Now, [&](const upstream_run &Restricted) {
+  Restrictions.visit(Now, [&](const upstream_run &Restricted, instant Until) {
     const auto Found = std::lower_bound(
         List.begin(), List.end(), Restricted.Name,
         [](const auto &Entry, auto Name) { return Entry.Name < Name; });
     if (Found != List.end() && Found->Name == Restricted.Name &&
         Found->Spec->StartedMs == Restricted.StartedMs) {
-      Excluded.push_back(Found->Id);
+      Excluded.Ids.push_back(Found->Id);
+      Excluded.FirstUsable = std::min(Excluded.FirstUsable, Until);
     }
   });
   return Excluded;
@@ -372,9 +385,13 @@
 void enqueueRequest(const traffic_request_ptr &Request) {
   auto &Shard = Request->Shard;
   Request->Phase = request_phase::Waiting;
+  const instant Now = monotonic_clock::now();
   Shard.Slots.refreshRouting();
-  auto Excluded = excludedUpstreams(*Request, monotonic_clock::now());
-  if (!Shard.Slots.hasUsableUpstream(Request->Service, Excluded)) {
+  auto Excluded = excludedUpstreams(*Request, Now);
+  if (!Shard.Slots.hasUsableUpstream(Request->Service, Excluded.Ids)) {
+    if (Excluded.FirstUsable != instant::max()) {
+      Request->RetryAfter = Excluded.FirstUsable - Now;
+    }
     failRequest(Request, request_error::NoUpstream, execution_outcome::NotRun);
     return;
   }
@@ -384,7 +401,7 @@
   SlotRequest.Team = Request->teamName();
   SlotRequest.Cost = Request->Cost;
   SlotRequest.Prompt = Request->Prompt;
-  SlotRequest.Excluded = std::move(Excluded);
+  SlotRequest.Excluded = std::move(Excluded.Ids);
   SlotRequest.DispatchDeadline = Request->DispatchDeadline;
   SlotRequest.ResponseTarget = Request->ResponseTarget;
   slot_callbacks Callbacks;
--- a/src/traffic/upstream_restrictions.cpp
+++ b/src/traffic/upstream_restrictions.cpp
@@ -1,5 +1,8 @@
 #include "traffic/upstream_restrictions.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace arbutus::traffic {
 
 namespace {
@@ -10,9 +13,16 @@
 
 } // namespace
 
-void upstream_restrictions::markLeaving(const upstream_run &Upstream,
+bool upstream_restrictions::markLeaving(const upstream_run &Upstream,
                                         instant Now) {
-  entryOf(Upstream, Now).LeavingUntil = Now + LeavingRetention;
+  pause(Upstream, Now + LeavingRetention, Now);
+  return !std::exchange(entryOf(Upstream, Now).Leaving, true);
+}
+
+void upstream_restrictions::pause(const upstream_run &Upstream, instant Until,
+                                  instant Now) {
+  auto &Entry = entryOf(Upstream, Now);
+  Entry.Until = std::max(Entry.Until, Until);
 }
 
 bool upstream_restrictions::isRestricted(const upstream_run &Upstream,
@@ -25,7 +35,7 @@
 
 bool upstream_restrictions::isInForce(const restriction &Entry,
                                       instant Now) noexcept {
-  return Now < Entry.LeavingUntil;
+  return Now < Entry.Until;
 }
 
 upstream_restrictions::restriction &
--- a/src/traffic/upstream_restrictions.h
+++ b/src/traffic/upstream_restrictions.h
@@ -23,19 +23,23 @@
 /// list and also reaches a router that has lost the leader. Not thread-safe.
 class upstream_restrictions {
 public:
-  /// The upstream has announced that it is shutting down.
-  void markLeaving(const upstream_run &Upstream, instant Now);
+  /// The upstream has announced that it is shutting down. Returns false if that
+  /// is known.
+  bool markLeaving(const upstream_run &Upstream, instant Now);
+
+  /// The upstream wants no request until this time.
+  void pause(const upstream_run &Upstream, instant Until, instant Now);
 
   /// True if the upstream must not get a request now.
   [[nodiscard]] bool isRestricted(const upstream_run &Upstream,
                                   instant Now) const;
 
-  /// Calls `Visit(Name, StartedMs)` for every upstream that must not get a
-  /// request now.
+  /// Calls `Visit(Upstream, Until)` for every upstream that must not get a
+  /// request now; `Until` is when this ends.
   template <class Visitor> void visit(instant Now, Visitor Visit) const {
     for (const auto &[Name, Entry] : Entries) {
       if (isInForce(Entry, Now)) {
-        Visit(upstream_run{Name, Entry.StartedMs});
+        Visit(upstream_run{Name, Entry.StartedMs}, Entry.Until);
       }
     }
   }
@@ -45,7 +49,8 @@
 private:
   struct restriction {
     std::uint64_t StartedMs = 0;
-    instant LeavingUntil;
+    bool Leaving = false;
+    instant Until;
   };
 
   [[nodiscard]] static bool isInForce(const restriction &Entry,
--- a/tests/platform/test_upstream_requests.cpp
+++ b/tests/platform/test_upstream_requests.cpp
@@ -107,3 +107,64 @@
     CHECK(Router.Upstreams[0]->Requests == 0);
   }
 }
+
+// Guards against requests to an upstream that has refused one and named the
+// time for which it wants none.
+TEST_CASE("an upstream that names a Retry-After is left alone until then") {
+  struct row {
+    std::string Name;
+    std::string Status;
+    std::string Headers;
+    bool Paused;
+  };
+  const std::vector<row> Rows = {
+      {"whole seconds", "503 X", "Not-Executed: 1\r\nRetry-After: 30\r\n",
+       true},
+      {"a fraction", "503 X", "Not-Executed: 1\r\nRetry-After: 30.25\r\n",
+       true},
+      {"no refusal of this request alone", "503 X", "Retry-After: 30\r\n",
+       true},
+      {"no time", "503 X", "Not-Executed: 1\r\n", false},
+      {"no time that can be read", "503 X",
+       "Not-Executed: 1\r\nRetry-After: soon\r\n", false},
+      {"no refusal", "200 OK", "Retry-After: 30\r\n", false},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    flow_fixture Router(
+        {}, {[&](const auto &Request) {
+               return answerTo(Request, Row.Status, Row.Headers);
+             },
+             [](const auto &Request) { return answerTo(Request, "200 OK"); }});
+    requestUntilServedBy(Router, 0);
+    Router.Shard.Io.run_for(std::chrono::milliseconds(150)); // its own back-off
+    for (int I = 0; I < 40; ++I) {
+      CHECK(Router.request()->Status == 200);
+    }
+    CHECK((Router.Upstreams[0]->Requests == 1) == Row.Paused);
+  }
+}
+
+// Guards against callers that are kept waiting or told a wrong time while every
+// upstream of their service has asked for a pause, and against an upstream that
+// stays unused after it.
+TEST_CASE("a pause of all upstreams is passed on to callers and ends") {
+  bool Full = true;
+  flow_fixture Router(
+      {}, {[&](const auto &Request) {
+        return Full ? answerTo(Request, "503 X",
+                               "Not-Executed: 1\r\nRetry-After: 1.5\r\n")
+                    : answerTo(Request, "200 OK");
+      }});
+  CHECK(Router.request()->Status == 503);
+  const auto Refused = Router.request();
+  CHECK(Refused->Status == 503);
+  const double RetryAfter =
+      std::stod(std::string(net::headerOf(Refused->Headers, "Retry-After")));
+  CHECK(RetryAfter > 0.9);
+  CHECK(RetryAfter < 1.9);
+  CHECK(Router.Upstreams[0]->Requests == 1);
+  Full = false;
+  Router.Shard.Io.run_for(std::chrono::milliseconds(1600));
+  CHECK(Router.request()->Status == 200);
+}
