Soak: check that routers leave upstreams alone that say they are leaving

A draining upstream says so in all its answers. A request that was sent later than 3 s after a node passed such an answer on, and reaches that upstream from that node, is a violation unless the node was restarted or paused since.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,6 +9,7 @@
 
 import wire
 from upstreams import EVENTS_PER_STREAM, SERVER_STAMP
+from world import Request
 
 HOST = "soak.example"
 DEADLINE_S = 4.0
@@ -81,6 +82,7 @@
         reader, writer, address = self.connection
         node = self.fleet.node_at(address)
         fault_counts = node.fault_counts()
+        self.recorder.requests[attempt_id] = Request(node)
         try:
             writer.write(wire.request_bytes("POST", PATHS[kind] + "x", headers, attempt_id.encode()))
             status, response_headers, body = await asyncio.wait_for(self.read(reader), DEADLINE_S)
@@ -94,6 +96,7 @@
             self.check_disconnect(attempt_id, node, fault_counts)
             return
         self.recorder.count(str(status))
+        self.recorder.record_response(node, response_headers)
         self.check(attempt_id, kind, status, response_headers, body)
         if response_headers.get("connection", "").lower() == "close" or status >= 500:
             self.close()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -107,6 +107,10 @@
     def fault_counts(self):
         return (self.fault_count, self.fleet.link_faults)
 
+    def process_faults(self):
+        """Changes whenever the process was restarted or paused."""
+        return (self.fault_count, self.stops)
+
     def only_terminated_since(self, counts):
         """True if the only event since `counts` is a graceful stop."""
         return self.stopping and counts == (self.fault_count, self.fleet.link_faults)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -19,7 +19,8 @@
     """One upstream. `mode` is its fault: "" (none), "dark" (sends no responses),
     "errors" (some responses have status 500), "cut" (resets some connections during
     a response), "extra" (sends an unrequested second response), "endless"
-    (sends bytes that are no response until the router closes the connection)."""
+    (sends bytes that are no response until the router closes the connection). While it
+    drains, all its responses say so."""
 
     def __init__(self, recorder, name, service, domain, ip, port, slots):
         self.recorder, self.service, self.domain = recorder, service, domain
@@ -73,7 +74,10 @@
     async def respond(self, method, headers, body, writer):
         """Sends the response to one request; returns false if the connection was reset."""
         attempt_id = headers.get("attempt-id", "")
-        id_headers = {"Attempt-Id": attempt_id}
+        id_headers = {"Attempt-Id": attempt_id, "X-Upstream": self.id}
+        if self.draining:
+            id_headers["Server-Leaving"] = "1"
+        self.recorder.record_arrival(self.id, attempt_id)
         if headers.get("expect-instance") != self.id:
             writer.write(wire.response_bytes(421, dict(id_headers, **{"Instance-Id": self.id})))
             return True
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,9 +6,17 @@
 CONFIG_APPLY_S = 2.0  # until every node applies an acknowledged configuration
 REVOKE_S = 5.0  # until no request with a revoked key is executed
 EVACUATE_S = 5.0  # until no request is executed in an evacuated failure domain
+DRAIN_S = 3.0  # until a router leaves an upstream alone that says it is leaving
 SCHEDULING_SLACK_S = 0.25  # scheduling delay of the test itself
 
 
+class Request:
+    """A request of a caller and the node that it was sent to."""
+
+    def __init__(self, node):
+        self.node, self.sent_at = node, time.monotonic()
+
+
 class Recorder:
     def __init__(self, random):
         self.random = random
@@ -22,6 +30,8 @@
         self.evacuated = {}  # failure domain -> time when the evacuation was acknowledged
         self.acked_version, self.acked_at = 0, 0.0
         self.counts = {}
+        self.requests = {}  # attempt id -> Request
+        self.leaving = {}  # (node, upstream) -> (time of a passed-on "leaving", node faults)
 
     def count(self, event):
         self.counts[event] = self.counts.get(event, 0) + 1
@@ -31,6 +41,18 @@
 
     # What upstreams see
 
+    def record_arrival(self, upstream, attempt_id):
+        """Checks that the router leaves a leaving upstream alone."""
+        now, request = time.monotonic(), self.requests.get(attempt_id)
+        if request is None:
+            return
+        key = (request.node, upstream)
+        announced, faults = self.leaving.get(key, (None, None))
+        if (announced is not None and request.sent_at > announced + DRAIN_S + SCHEDULING_SLACK_S and
+                faults == request.node.process_faults()):
+            self.report_violation("DRAIN", "%s reaches %s %.1f s after %s passed on that it is leaving" % (
+                attempt_id, upstream, now - announced, request.node.name))
+
     def record_execution(self, upstream, attempt_id, method, headers, body):
         now = time.monotonic()
         execution = {"upstream": upstream.id, "at": now, "ended": None}
@@ -65,6 +87,11 @@
 
     # What callers see
 
+    def record_response(self, node, headers):
+        if headers.get("server-leaving") == "1":
+            self.leaving.setdefault((node, headers.get("x-upstream")),
+                                    (time.monotonic(), node.process_faults()))
+
     def record_rejection(self, attempt_id, kind):
         self.rejected_at[attempt_id] = time.monotonic()
         if kind == "unsafe" and self.executions.get(attempt_id):
