Soak: upstreams that refuse and name a time

The fault "full" refuses with a Retry-After of 1.5 s. More than two requests of a node in the time from half a second after it on are a violation, unless the node was faulty.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -191,7 +191,7 @@
         upstream = self.pick_upstream()
         if upstream is None:
             return
-        upstream.mode = self.recorder.random.choice(("dark", "errors", "cut", "extra", "endless"))
+        upstream.mode = self.recorder.random.choice(("dark", "errors", "cut", "extra", "endless", "full"))
         self.log("%s: %s for %.1f s" % (upstream.id, upstream.mode, seconds))
         await asyncio.sleep(seconds)
         upstream.mode = ""
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -13,13 +13,15 @@
 EVENT_INTERVAL_S = 0.03
 EXECUTION_S = 0.04
 SERVER_STAMP = "soak"
+PAUSE_S = 1.5  # Retry-After of an upstream that is full
 
 
 class Upstream:
     """One upstream. `mode` is its fault: "" (none), "dark" (sends no responses),
     "errors" (some responses have status 500), "cut" (resets some connections during
     a response), "extra" (sends an unrequested second response), "endless"
-    (sends bytes that are no response until the router closes the connection). While it
+    (sends bytes that are no response until the router closes the connection),
+    "full" (refuses requests and names a time for which it wants none). While it
     drains, all its responses say so."""
 
     def __init__(self, recorder, name, service, domain, ip, port, slots):
@@ -84,6 +86,11 @@
         if self.running >= 2 * self.slots:
             writer.write(wire.response_bytes(503, dict(id_headers, **{"Not-Executed": "1"})))
             return True
+        if self.mode == "full":
+            self.recorder.record_pause(self.id, attempt_id, PAUSE_S)
+            writer.write(wire.response_bytes(
+                503, dict(id_headers, **{"Not-Executed": "1", "Retry-After": PAUSE_S})))
+            return True
         self.running += 1
         execution = self.recorder.record_execution(self, attempt_id, method, headers, body)
         try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,6 +7,8 @@
 REVOKE_S = 5.0  # until no request with a revoked key is executed
 EVACUATE_S = 5.0  # until no request is executed in an evacuated failure domain
 DRAIN_S = 3.0  # until a router leaves an upstream alone that says it is leaving
+PAUSE_DELAY_S = 0.5  # the same after a refusal with Retry-After
+MAX_PAUSED_ARRIVALS = 2
 SCHEDULING_SLACK_S = 0.25  # scheduling delay of the test itself
 
 
@@ -32,6 +34,7 @@
         self.counts = {}
         self.requests = {}  # attempt id -> Request
         self.leaving = {}  # (node, upstream) -> (time of a passed-on "leaving", node faults)
+        self.paused = {}  # (node, upstream) -> [start, end, arrivals, node faults]
 
     def count(self, event):
         self.counts[event] = self.counts.get(event, 0) + 1
@@ -42,7 +45,7 @@
     # What upstreams see
 
     def record_arrival(self, upstream, attempt_id):
-        """Checks that the router leaves a leaving upstream alone."""
+        """Checks that the router leaves a leaving or paused upstream alone."""
         now, request = time.monotonic(), self.requests.get(attempt_id)
         if request is None:
             return
@@ -52,6 +55,20 @@
                 faults == request.node.process_faults()):
             self.report_violation("DRAIN", "%s reaches %s %.1f s after %s passed on that it is leaving" % (
                 attempt_id, upstream, now - announced, request.node.name))
+        pause = self.paused.get(key)
+        if pause and pause[0] <= now < pause[1]:
+            pause[2] += 1
+            if pause[2] == MAX_PAUSED_ARRIVALS + 1 and pause[3] == request.node.fault_counts():
+                self.report_violation("PAUSE", "%s is the third request of %s at %s, which wants none" %
+                                      (attempt_id, request.node.name, upstream))
+
+    def record_pause(self, upstream, attempt_id, seconds):
+        now, request = time.monotonic(), self.requests.get(attempt_id)
+        if request is not None:
+            self.paused.setdefault((request.node, upstream), [
+                now + PAUSE_DELAY_S, now + seconds, 0, request.node.fault_counts()])
+            if self.paused[(request.node, upstream)][1] < now:
+                del self.paused[(request.node, upstream)]
 
     def record_execution(self, upstream, attempt_id, method, headers, body):
         now = time.monotonic()
