Quarantine prompt segments that crash upstreams

Cause: nothing connected a crash with what was on the upstream. A router saw some of the crashes, forgot their content, and no router heard of another's. A request that had ended one upstream could be sent to a second. Class of fault: a failure that follows the request is treated as one of the upstream.

Ruled out: that other streams of the crashed engine are to blame; they had events, the guilty ones had none when their engines ended (twelve were traced). That sound requests are refused with the guilty ones: they fail because their engines are gone.

Change: requests without a whole event or answer at the crash make the shared segments of their prompt suspects. Routers report them with heartbeats to all voters; the leader names the suspects, and a whole answer with one clears it. A segment with three lost upstreams and no answer since is quarantined in the replicated store for an hour, pushed under leases like any revision.

--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -25,6 +25,9 @@
 /// A new leader collects heartbeats for this long before it moves grantors.
 constexpr duration PlacementDelay = 700ms;
 constexpr duration ClaimExpiryInterval = 30s;
+/// Time after which a segment may be tried again. It is found guilty again if
+/// it still crashes upstreams.
+constexpr duration QuarantineTime = 1h;
 constexpr duration VoterCheckInterval = 200ms;
 constexpr duration VoterCheckDelay = 1s;
 
@@ -43,6 +46,7 @@
       Heartbeat.HasDirectoryId
           ? std::optional(consensus::data_directory_id{Heartbeat.DirectoryId})
           : std::nullopt};
+  Crashes.onFindings(Heartbeat.Crashes, Now);
   heartbeat_reply_message Reply;
   for (const auto &Members : {Voters.Voters, Voters.Learners}) {
     for (const auto &Member : Members) {
@@ -75,6 +79,7 @@
           limitLease(Lease.Lease, SessionHeartbeat.AppliedRevision, Now));
     }
   }
+  Reply.Suspects = Crashes.suspects(Now);
   Reply.NodesVersion = Sessions.nodesVersion();
   if (Heartbeat.NodesTerm != Term ||
       Heartbeat.NodesVersion != Reply.NodesVersion) {
@@ -125,6 +130,7 @@
   }
   handleSessionEvents(Commands, Now);
   logInstanceAge(Store, Now);
+  quarantineGuiltySegments(Commands, Now);
   if (Sessions.nodesVersion() != SentNodesVersion) {
     SentNodesVersion = Sessions.nodesVersion();
     for (const auto &Node : Sessions.liveNodes()) {
@@ -214,6 +220,21 @@
   }
 }
 
+void leader_duties::quarantineGuiltySegments(
+    std::vector<store::command> &Commands, instant Now) {
+  store::quarantine_command Quarantine;
+  for (const auto Segment : Crashes.takeGuilty(Now)) {
+    Quarantine.Names.push_back(store::quarantineName(number(Segment)));
+    logEvent(log_level::Warning, "prompt_quarantined",
+             {{"segment", Quarantine.Names.back()},
+              {"duration_us", toMicros(QuarantineTime)}});
+  }
+  if (!Quarantine.Names.empty()) {
+    Quarantine.DurationMs = toMicros(QuarantineTime) / 1000;
+    Commands.push_back(store::makeCommand(std::move(Quarantine)));
+  }
+}
+
 void leader_duties::placeGrantors(const store::state_machine &Store,
                                   std::vector<store::command> &Commands) {
   std::vector<membership::grantor_assignment> Assignments;
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -4,6 +4,7 @@
 #include "consensus/cluster_membership.h"
 #include "consensus/input.h"
 #include "control/config_pusher.h"
+#include "control/crash_correlator.h"
 #include "control/instance_freshness.h"
 #include "control/messages.h"
 #include "membership/grantor_placement.h"
@@ -86,6 +87,9 @@
   void startTerm(std::uint64_t NewTerm, const store::state_machine &Store,
                  instant Now);
   void handleSessionEvents(std::vector<store::command> &Commands, instant Now);
+  /// Proposes to refuse requests with prompt segments that crash upstreams.
+  void quarantineGuiltySegments(std::vector<store::command> &Commands,
+                                instant Now);
   void placeGrantors(const store::state_machine &Store,
                      std::vector<store::command> &Commands);
   void abandonClaimsWithoutSession(const store::state_machine &Store,
@@ -98,6 +102,7 @@
   membership::session_table Sessions;
   config_pusher Config;
   instance_freshness Instances;
+  crash_correlator Crashes;
   /// Limits the log to changes.
   bool InstancesOutdated = false;
   std::map<node_id, node_contact> Contacts;
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_CONTROL_MESSAGES_H
 
 #include "membership/node_session.h"
+#include "router/crash_report.h"
 #include "store/config_update.h"
 #include <msgpack.hpp>
 
@@ -47,9 +48,10 @@
   /// Identity of the data directory, if the sender is a voter or could be one.
   bool HasDirectoryId = false;
   std::uint64_t DirectoryId = 0;
+  router::crash_findings Crashes;
 
   MSGPACK_DEFINE(Sender, Position, SendTimeUs, NodesTerm, NodesVersion,
-                 HasDirectoryId, DirectoryId)
+                 HasDirectoryId, DirectoryId, Crashes)
 };
 
 /// `heartbeat_reply`: sent to a node by the leader. The reply of any other
@@ -73,10 +75,13 @@
   /// Voters and learners that the sender knows. Only the leader's list is
   /// complete.
   std::vector<std::uint32_t> ControlNodes;
+  /// Prompt segments that may have crashed upstreams, to be cleared by routers
+  /// that get answers to requests with them.
+  std::vector<router::segment_hash> Suspects;
 
   MSGPACK_DEFINE(FromLeader, LeaderHint, Term, CommittedRevision, SendTimeUs,
                  LeaseUs, LastEndedIncarnation, HasNodes, NodesVersion, Nodes,
-                 ControlNodes)
+                 ControlNodes, Suspects)
 };
 
 /// `claim_request`: a router sends a store command to the leader.
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -161,6 +161,7 @@
     Message.HasDirectoryId = true;
     Message.DirectoryId = number(*OwnDirectoryId);
   }
+  Message.Crashes = Context->Crashes.findings(monotonic_clock::now());
   const std::string Payload = encode(Message);
   // All control nodes get it, so that a new leader knows the nodes at once.
   auto Receivers = ControlNodes;
@@ -249,6 +250,9 @@
     renewIncarnation(incarnation{Reply.LastEndedIncarnation});
     return;
   }
+  if (Reply.SendTimeUs != 0) {
+    Context->Crashes.setLeaderSuspects(Reply.Suspects, Now);
+  }
   applyLiveNodes(Reply);
   applyLease(Reply);
 }
--- /dev/null
+++ b/src/router/crash_evidence.h
@@ -0,0 +1,67 @@
+#ifndef ARBUTUS_ROUTER_CRASH_EVIDENCE_H
+#define ARBUTUS_ROUTER_CRASH_EVIDENCE_H
+
+#include "base/clock.h"
+#include "router/crash_report.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace arbutus::router {
+
+/// What a router has seen of prompt segments that may crash upstreams. The I/O
+/// threads record it; the control thread sends it to the voters, whose leader
+/// compares the reports of all routers. Thread-safe; the current time is always
+/// an argument.
+class crash_evidence {
+public:
+  /// An upstream was lost before it answered a request with these shared
+  /// segments.
+  void onUpstreamLost(upstream_run_hash Upstream,
+                      const std::vector<segment_hash> &Segments, instant Now);
+
+  /// An upstream has answered a request with these shared segments to its end,
+  /// so none of them crashes upstreams.
+  void onAnswered(const std::vector<segment_hash> &Segments, instant Now);
+
+  /// True if an upstream was lately lost on one of the segments, at this or
+  /// another router, and no upstream has answered a request with it since.
+  [[nodiscard]] bool
+  isSuspected(const std::vector<segment_hash> &Segments) const;
+
+  /// Sets the segments that the leader suspects.
+  void setLeaderSuspects(const std::vector<segment_hash> &Segments,
+                         instant Now);
+
+  /// What the next heartbeat carries. Each finding is returned for some time,
+  /// because a heartbeat may be lost.
+  [[nodiscard]] crash_findings findings(instant Now);
+
+private:
+  struct recorded_crash {
+    crash_report Report;
+    instant At;
+  };
+  struct cleared_segment {
+    segment_hash Segment{};
+    instant At;
+  };
+
+  void forgetExpired(instant Now);
+
+  mutable std::mutex Mutex;
+  std::vector<recorded_crash> Crashes;
+  std::vector<cleared_segment> Cleared;
+  /// Segments of own crashes, until the leader's list has them.
+  std::map<segment_hash, instant> OwnSuspects;
+  std::set<segment_hash> LeaderSuspects;
+  /// Spares the lock while there are no suspects, as in normal operation.
+  std::atomic<bool> HasSuspects = false;
+};
+
+} // namespace arbutus::router
+
+#endif
--- a/src/router/request_error.cpp
+++ b/src/router/request_error.cpp
@@ -31,6 +31,8 @@
      "this node cannot prove its configuration; use another address"},
     {request_error::NoUpstream, 503, 2,
      "the service has no upstream in service"},
+    {request_error::PromptQuarantined, 503, 60,
+     "upstreams have crashed on a part of this prompt"},
     {request_error::DeadlineExceeded, 504, 1, "the deadline has passed"},
     {request_error::ShuttingDown, 503, 1,
      "this node is shutting down; use another address"},
--- a/src/router/retry_policy.cpp
+++ b/src/router/retry_policy.cpp
@@ -44,8 +44,8 @@
   if (isForwardable(Result)) {
     return {retry_action::ForwardResponse};
   }
-  const bool MayRetry =
-      Result.HasAttemptsLeft && Result.HasRetryBudget && Result.HasTimeLeft;
+  const bool MayRetry = Result.HasAttemptsLeft && Result.HasRetryBudget &&
+                        Result.HasTimeLeft && !Result.SuspectedOfCrash;
   const request_error Error = toRequestError(Result);
   if (Result.ResponseStarted) {
     if (Result.Resumable && MayRetry) {
--- a/src/router/retry_policy.h
+++ b/src/router/retry_policy.h
@@ -30,6 +30,8 @@
   bool HasAttemptsLeft = false;
   bool HasRetryBudget = false; ///< the retry budget allows another attempt
   bool HasTimeLeft = false;
+  /// The request may have crashed its upstream, and would crash the next.
+  bool SuspectedOfCrash = false;
 };
 
 struct retry_decision {
--- a/src/router/router_context.h
+++ b/src/router/router_context.h
@@ -3,6 +3,7 @@
 
 #include "base/rcu_snapshot.h"
 #include "router/claim_client.h"
+#include "router/crash_evidence.h"
 #include "router/pool_dispatcher.h"
 #include "router/retry_budget.h"
 #include "router/router_metrics.h"
@@ -49,6 +50,7 @@
   claim_client Claims;
   retry_budget Retries;
   router_metrics Metrics;
+  crash_evidence Crashes;
 
   /// Requests may be sent to upstreams before this instant.
   std::atomic<std::int64_t> LeaseUntilUs = 0;
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -168,15 +168,29 @@
   MSGPACK_DEFINE(Changed, Gone)
 };
 
+/// Quarantines prompt segments, by the names of `quarantineName`, from the log
+/// time of the command on.
+struct quarantine_command {
+  std::vector<std::string> Names;
+  std::int64_t DurationMs = 0;
+
+  MSGPACK_DEFINE(Names, DurationMs)
+};
+
 /// Any command; the order of the alternatives is part of the log format.
-struct command : tagged_variant<put_command, delete_command, claim_command,
-                                complete_command, withdraw_command,
-                                abandon_command, assign_pool_command,
-                                expire_command, replace_config_command,
-                                set_domain_command, sync_instances_command> {};
-
-/// Version of the format of a log entry that this program reads and writes.
-inline constexpr char BatchVersion = 1;
+struct command
+    : tagged_variant<put_command, delete_command, claim_command,
+                     complete_command, withdraw_command, abandon_command,
+                     assign_pool_command, expire_command,
+                     replace_config_command, set_domain_command,
+                     sync_instances_command, quarantine_command> {};
+
+/// Newest version of the format of a log entry that this program reads. An entry
+/// is written in the oldest version that has its commands, so that voters of an
+/// earlier program read it; an entry that they cannot read stops them.
+inline constexpr char BatchVersion = 2;
+/// Without `quarantine_command`.
+inline constexpr char FirstBatchVersion = 1;
 
 /// The content of one log entry.
 struct batch {
--- a/src/store/kinds.h
+++ b/src/store/kinds.h
@@ -16,10 +16,11 @@
   Pool = 5,
   Configuration = 6,
   Instance = 7,
+  Quarantine = 8,
 };
 
 /// Number of values of `resource_kind`.
-inline constexpr int ResourceKinds = 8;
+inline constexpr int ResourceKinds = 9;
 
 /// A `Leaving` upstream receives no new work.
 enum class upstream_state : int { In = 0, Leaving = 1 };
@@ -44,6 +45,7 @@
       {store::resource_kind::Pool, "pool"},
       {store::resource_kind::Configuration, "configuration"},
       {store::resource_kind::Instance, "instance"},
+      {store::resource_kind::Quarantine, "quarantine"},
   };
 };
 
--- a/src/store/resource.h
+++ b/src/store/resource.h
@@ -8,6 +8,7 @@
 #include "store/msgpack_ids.h"
 #include "store/policy.h"
 #include "store/pool.h"
+#include "store/quarantine.h"
 #include "store/service.h"
 #include "store/tagged_variant.h"
 #include "store/team.h"
@@ -24,8 +25,9 @@
 
 /// The fields of an object; the alternatives are in the order of
 /// `resource_kind`.
-using resource_spec = tagged_variant<team, upstream, failure_domain, service,
-                                     policy, pool, fleet_config, instance>;
+using resource_spec =
+    tagged_variant<team, upstream, failure_domain, service, policy, pool,
+                   fleet_config, instance, quarantine>;
 
 [[nodiscard]] inline resource_kind kindOf(const resource_spec &Spec) noexcept {
   return static_cast<resource_kind>(Spec.Value.index());
--- a/src/store/resource_json.cpp
+++ b/src/store/resource_json.cpp
@@ -256,6 +256,8 @@
     return readSpec<fleet_config>(From, Spec, Errors);
   case resource_kind::Instance:
     return readSpec<instance>(From, Spec, Errors);
+  case resource_kind::Quarantine:
+    return readSpec<quarantine>(From, Spec, Errors);
   }
 }
 
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -253,11 +253,31 @@
     }
     return outcomeOf(outcome_code::Ok);
   }
+  command_outcome run(const quarantine_command &Quarantine) {
+    for (const auto &Name : Quarantine.Names) {
+      Resources.put(Name, {quarantine{LogTimeMs + Quarantine.DurationMs}});
+    }
+    return outcomeOf(outcome_code::Ok);
+  }
   command_outcome run(const expire_command &Expire) {
     auto Outcome = outcomeOf(outcome_code::Ok);
     Outcome.Count = advanceTime(Expire.LeaderTimeMs);
+    endQuarantines();
     return Outcome;
   }
+
+  void endQuarantines() {
+    std::vector<object_key> Ended;
+    for (const auto &[Name, Object] :
+         Resources.objects(resource_kind::Quarantine)) {
+      if (Object->as<quarantine>()->UntilMs <= LogTimeMs) {
+        Ended.push_back(Object->key());
+      }
+    }
+    for (const auto &Key : Ended) {
+      Resources.erase(Key);
+    }
+  }
 };
 
 state_machine::state_machine() : State(std::make_unique<state>()) {}
--- a/src/store/traffic_view.cpp
+++ b/src/store/traffic_view.cpp
@@ -43,6 +43,12 @@
         {upstream_id{Object->Number}, Object->Name, Spec, Usable});
     Objects.push_back(Object);
   }
+  for (auto I = Known.lower_bound({resource_kind::Quarantine, {}});
+       I != Known.end() && I->first.Kind == resource_kind::Quarantine; ++I) {
+    if (const auto Segment = quarantinedSegment(I->first.Name)) {
+      Quarantined.insert(*Segment);
+    }
+  }
 }
 
 const traffic_route *
--- a/src/store/traffic_view.h
+++ b/src/store/traffic_view.h
@@ -6,6 +6,7 @@
 #include "store/fleet_config.h"
 #include "store/instance.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -13,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace arbutus::store {
@@ -54,6 +56,16 @@
   [[nodiscard]] const std::vector<instance_entry> &
   instances(std::string_view Service) const noexcept;
 
+  /// True if requests with one of these prompt segments are refused, because a
+  /// segment crashes upstreams. Takes the hashes of the segments' ids.
+  template <class Hashes>
+  [[nodiscard]] bool isQuarantined(const Hashes &Segments) const {
+    return !Quarantined.empty() &&
+           std::any_of(Segments.begin(), Segments.end(), [&](auto Segment) {
+             return Quarantined.contains(static_cast<std::uint64_t>(Segment));
+           });
+  }
+
   /// Services that routes or instances name, ordered by name.
   [[nodiscard]] std::vector<std::string_view> serviceNames() const;
 
@@ -68,6 +80,7 @@
   std::unordered_map<std::string_view, prefix_map> Routes;
   std::unordered_map<std::string_view, const traffic_team *> TeamOfKey;
   std::map<std::string_view, std::vector<instance_entry>> Instances;
+  std::unordered_set<std::uint64_t> Quarantined;
 };
 
 } // namespace arbutus::store
--- a/src/store/validation.cpp
+++ b/src/store/validation.cpp
@@ -197,6 +197,11 @@
         "instances come from discovery and cannot be written");
   }
 
+  void operator()(const quarantine & /*Spec*/) {
+    add("kind", field_code::NotAllowed,
+        "quarantines follow from crashes and can only be deleted");
+  }
+
 private:
   template <class Enum> void known(std::string_view Field, Enum Value) {
     if (nameOf(Value) == "invalid") {
--- a/src/traffic/traffic_admission.cpp
+++ b/src/traffic/traffic_admission.cpp
@@ -46,6 +46,16 @@
   return Prompt;
 }
 
+/// All segments of the prompt but the last, which belongs to the request alone.
+std::vector<router::segment_hash>
+sharedSegments(const std::vector<prompt_segment> &Prompt) {
+  std::vector<router::segment_hash> Shared;
+  for (std::size_t I = 0; I + 1 < Prompt.size(); ++I) {
+    Shared.push_back(router::segment_hash{hash64(Prompt[I].Id)});
+  }
+  return Shared;
+}
+
 /// Maximum time in the queue. The rest of a stream's objective is needed for
 /// prefill. The response of a plain upstream would be late after a longer wait.
 duration maxQueueTime(const store::traffic_route &Route) {
@@ -115,6 +125,10 @@
   if (const auto Found = findTeam(*Request); Found.has_error()) {
     return Found.error();
   }
+  Request->SharedSegments = sharedSegments(Caller.Prompt);
+  if (Traffic.isQuarantined(Request->SharedSegments)) {
+    return request_error::PromptQuarantined;
+  }
   const auto BodyLimit = Traffic.config()->Limits.BodyBytes;
   if (BodyLimit != 0 && Exchange->request().Body.size() > BodyLimit) {
     return request_error::BodyTooLarge;
--- a/src/traffic/traffic_end.cpp
+++ b/src/traffic/traffic_end.cpp
@@ -60,6 +60,9 @@
 /// Value of the Retry-After header, in seconds.
 std::string retryAfterText(request_error Error, duration Estimate,
                            std::string_view RequestId) {
+  if (Error == request_error::PromptQuarantined) {
+    return std::to_string(router::retryAfterSeconds(Error));
+  }
   const duration Default =
       Error == request_error::NotServing ? LeaseRetryAfter : DefaultRetryAfter;
   const duration Wait = Estimate == duration::zero()
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -1,5 +1,6 @@
 #include "traffic/traffic_flow.h"
 
+#include "base/digest.h"
 #include "base/log.h"
 #include "router/retry_policy.h"
 #include "traffic/traffic_admission.h"
@@ -61,7 +62,8 @@
 }
 
 router::attempt_result attemptResultOf(traffic_request &Request,
-                                       net::call_outcome Outcome) {
+                                       net::call_outcome Outcome,
+                                       bool SuspectedOfCrash) {
   const instant Now = monotonic_clock::now();
   router::attempt_result Result;
   Result.Outcome = Outcome;
@@ -75,6 +77,7 @@
   Result.HasAttemptsLeft = Request.Attempts < Request.Route->MaxAttempts;
   Result.HasTimeLeft =
       Now < Request.Deadline && router::holdsLease(Request.Shard.Context, Now);
+  Result.SuspectedOfCrash = SuspectedOfCrash;
   Result.HasRetryBudget = true;
   const auto Step = router::decideRetryAction(Result).Action;
   if (Step == retry_action::Retry || Step == retry_action::Resume) {
@@ -83,11 +86,22 @@
   return Result;
 }
 
+/// Names of segments as the store has them, separated by commas.
+std::string segmentNames(const std::vector<router::segment_hash> &Segments) {
+  std::string Names;
+  for (const auto Segment : Segments) {
+    Names += Names.empty() ? "" : ",";
+    Names += store::quarantineName(number(Segment));
+  }
+  return Names;
+}
+
 /// Sends complete events of a stream to the caller.
 void forwardEvents(traffic_request &Request, std::string Events) {
   if (Events.empty()) {
     return;
   }
+  Request.Attempt.FirstEvent = true;
   if (!Request.Exchange->answered()) {
     // Headers and signature are those of the first upstream, also after a
     // resume.
@@ -97,6 +111,48 @@
   Request.Exchange->writeChunk(std::move(Events));
 }
 
+/// True if the upstream was lost before it answered: its connection ended
+/// without a whole answer, or without a whole event of a stream.
+bool isUpstreamLost(const traffic_request &Request, net::call_outcome Outcome) {
+  const bool ConnectionEnded = Outcome == net::call_outcome::SentNoAnswer ||
+                               Outcome == net::call_outcome::AnswerBroken;
+  return ConnectionEnded && !Request.Attempt.FirstEvent &&
+         !Request.Attempt.Oversized;
+}
+
+/// Identifies the run of the upstream in crash reports.
+router::upstream_run_hash runHash(const upstream_attempt &Attempt) {
+  return router::upstream_run_hash{
+      hash64(Attempt.Instance, Attempt.InstanceStartedMs)};
+}
+
+/// Records what the end of an attempt says about the prompt: whether it may
+/// crash upstreams. Returns true if the request must not get another one.
+bool recordCrashEvidence(const traffic_request &Request,
+                         net::call_outcome Outcome) {
+  auto &Crashes = Request.Shard.Context.Crashes;
+  const auto &Segments = Request.SharedSegments;
+  const instant Now = monotonic_clock::now();
+  if (Segments.empty()) {
+    return false;
+  }
+  if (Outcome == net::call_outcome::Complete &&
+      Request.Attempt.ResponseInfo.SignedSuccess) {
+    Crashes.onAnswered(Segments, Now);
+  }
+  if (!isUpstreamLost(Request, Outcome)) {
+    return false;
+  }
+  const bool Suspected = Crashes.isSuspected(Segments);
+  Crashes.onUpstreamLost(runHash(Request.Attempt), Segments, Now);
+  logEvent(log_level::Info, "upstream_lost",
+           {{"request", Request.Caller.Id},
+            {"upstream", Request.Attempt.Instance},
+            {"segments", segmentNames(Segments)},
+            {"suspected", Suspected}});
+  return Suspected;
+}
+
 /// Requests another slot after a failed attempt. The dispatch deadline of the
 /// first attempt no longer applies: a late response is better than none.
 void retryRequest(const traffic_request_ptr &Request) {
@@ -142,7 +198,8 @@
     completeDisconnected(Request);
     return;
   }
-  const auto Result = attemptResultOf(*Request, Outcome);
+  const bool SuspectedOfCrash = recordCrashEvidence(*Request, Outcome);
+  const auto Result = attemptResultOf(*Request, Outcome, SuspectedOfCrash);
   const auto Decision = router::decideRetryAction(Result);
   Request->MayHaveExecuted =
       Request->MayHaveExecuted || !router::isProvenNotExecuted(Result);
@@ -295,9 +352,10 @@
   const auto View = currentView(Request.Shard);
   const auto *Instance =
       findInstance(View->traffic(), Request.Service, Request.Attempt.Upstream);
-  Request.Attempt.Withheld = !router::holdsLease(Request.Shard.Context, Now) ||
-                             Instance == nullptr ||
-                             !isSendable(Request.Shard, *Instance, Now);
+  Request.Attempt.Withheld =
+      !router::holdsLease(Request.Shard.Context, Now) || Instance == nullptr ||
+      !isSendable(Request.Shard, *Instance, Now) ||
+      View->traffic().isQuarantined(Request.SharedSegments);
   return !Request.Attempt.Withheld;
 }
 
@@ -345,6 +403,12 @@
   const auto View = currentView(Shard);
   const auto *Instance =
       findInstance(View->traffic(), Request->Service, Upstream);
+  if (View->traffic().isQuarantined(Request->SharedSegments)) {
+    releaseUnusedSlot(*Request);
+    failRequest(Request, request_error::PromptQuarantined,
+                execution_outcome::NotRun);
+    return;
+  }
   if (Instance == nullptr || !isSendable(Shard, *Instance, Now)) {
     releaseUnusedSlot(*Request);
     Request->Excluded.push_back(Upstream);
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -30,6 +30,8 @@
   upstream_response_info ResponseInfo;
   std::string Body; ///< of responses that are not streamed
   bool FirstByte = false;
+  /// A whole event of a stream has arrived.
+  bool FirstEvent = false;
   bool Oversized = false;
   /// It was not sent, because its upstream became unusable meanwhile.
   bool Withheld = false;
@@ -72,6 +74,8 @@
   instant ResponseTarget = instant::max();
   double Cost = 1;
   std::vector<balance::prompt_block> Prompt;
+  /// Segments of the prompt that other requests may share.
+  std::vector<router::segment_hash> SharedSegments;
 
   router::request_phase Phase = router::request_phase::Admitted;
   std::uint32_t Attempts = 0;
--- a/tests/platform/flow_fixture.h
+++ b/tests/platform/flow_fixture.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_TESTS_PLATFORM_FLOW_FIXTURE_H
 #define ARBUTUS_TESTS_PLATFORM_FLOW_FIXTURE_H
 
+#include "base/digest.h"
 #include "platform/platform.h"
 #include "recorded_exchange.h"
 #include "scripted_upstream.h"
@@ -60,6 +61,8 @@
   /// Indexes of instances that the list calls draining, or does not have.
   std::set<std::size_t> Draining;
   std::set<std::size_t> Hidden;
+  /// Hashes of quarantined prompt segments.
+  std::set<std::uint64_t> Quarantined;
 
   /// Replaces the router's configuration and instances.
   void applyRouting() {
@@ -81,6 +84,10 @@
       Update.Objects.push_back(object(
           instanceName(I), static_cast<std::uint32_t>(5 + I), {Instance}));
     }
+    for (const auto Segment : Quarantined) {
+      Update.Objects.push_back(object(store::quarantineName(Segment), 0,
+                                      {store::quarantine{1'000'000}}));
+    }
     Update.ListSize = Update.Objects.size();
     Update.Revision = revision{LastRevision};
     store::config_replica Replica;
--- a/tests/store/naive_store.h
+++ b/tests/store/naive_store.h
@@ -160,7 +160,8 @@
       Object.Version = DeletedVersion[Key.Kind] + 1;
       if (Key.Kind != resource_kind::FailureDomain &&
           Key.Kind != resource_kind::Configuration &&
-          Key.Kind != resource_kind::Policy) {
+          Key.Kind != resource_kind::Policy &&
+          Key.Kind != resource_kind::Quarantine) {
         Object.Number = ++LastNumber[Key.Kind];
       }
     }
@@ -372,8 +373,27 @@
     return {outcome_code::Ok};
   }
 
+  naive_outcome run(const quarantine_command &Quarantine) {
+    for (const auto &Name : Quarantine.Names) {
+      set({resource_kind::Quarantine, Name},
+          {quarantine{NowMs + Quarantine.DurationMs}});
+    }
+    return {outcome_code::Ok};
+  }
+
   naive_outcome run(const expire_command &Expire) {
-    return {outcome_code::Ok, 0, 0, advance(Expire.LeaderTimeMs)};
+    const auto Count = advance(Expire.LeaderTimeMs);
+    std::vector<object_key> Ended;
+    for (const auto &[Key, Object] : Objects) {
+      const auto *Held = std::get_if<quarantine>(&Object.Spec.Value);
+      if (Held != nullptr && Held->UntilMs <= NowMs) {
+        Ended.push_back(Key);
+      }
+    }
+    for (const auto &Key : Ended) {
+      remove(Key);
+    }
+    return {outcome_code::Ok, 0, 0, Count};
   }
 };
 
--- a/tests/store/test_differential.cpp
+++ b/tests/store/test_differential.cpp
@@ -129,12 +129,15 @@
   }
 
   command fresh(const naive_store &Known) {
-    switch (below(19)) {
+    switch (below(20)) {
     case 16:
       return makeCommand(config());
     case 17:
       return makeCommand(
           set_domain_command{pick("n", 6), domain_state(below(2))});
+    case 19:
+      return makeCommand(quarantine_command{
+          {pick("q", 4)}, static_cast<std::int64_t>(below(3)) * 1'000});
     case 18:
       return makeCommand(sync_instances_command{
           {{pick("i", 5),
--- a/tests/store/test_session.cpp
+++ b/tests/store/test_session.cpp
@@ -180,7 +180,8 @@
       {"earlier index", 4, Entry, apply_status::AlreadyApplied, 5},
       {"cut short", 6, Entry.substr(0, Entry.size() - 1),
        apply_status::Malformed, 6},
-      {"newer version", 7, "\x02", apply_status::UnsupportedVersion, 6},
+      {"newer version", 7, std::string(1, BatchVersion + 1),
+       apply_status::UnsupportedVersion, 6},
   };
   for (const auto &Row : Rows) {
     CAPTURE(Row.Name);
