Soak: a prompt segment that crashes upstreams

From some moment on, one in twenty streams has a segment that crashes its upstream. More than three such crashes later than 3 s after the fifth, while no node is faulty, are a violation.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,6 +14,7 @@
 HOST = "soak.example"
 DEADLINE_S = 4.0
 ADDRESS_TTL_S = 1.0
+CRASH_SHARE = 0.05  # of streams, while a prompt segment crashes upstreams
 PATHS = {"stream": "/stream/", "unsafe": "/unsafe/", "safe": "/safe/"}
 
 
@@ -72,6 +73,8 @@
         headers = {"Host": HOST, "Attempt-Id": attempt_id, "Deadline-Ms": int(DEADLINE_S * 1000),
                    "Authorization": "Bearer " + self.key, "X-Kind": kind, "X-Team": self.team,
                    "X-Sent": "%.6f" % time.monotonic()}
+        if kind == "stream":
+            headers["Prompt-Prefix"] = self.prompt(attempt_id)
         self.recorder.count("requests")
         try:
             await self.connect()
@@ -103,6 +106,13 @@
         if status in (429, 503):
             await asyncio.sleep(min(1.0, float(response_headers.get("retry-after", 0.1))))
 
+    def prompt(self, attempt_id):
+        """A segment of all teams, one that may crash upstreams, and an own one."""
+        segments = ["system:100"]
+        if self.recorder.crash_segment and self.recorder.random.random() < CRASH_SHARE:
+            segments.append(self.recorder.crash_segment + ":50")
+        return ",".join(segments + [attempt_id + ":10"])
+
     async def read(self, reader):
         start_line, headers = await wire.read_head(reader)
         return int(start_line.split()[1]), headers, await wire.read_body(reader, headers)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,7 +38,8 @@
     def __init__(self, recorder, fleet, links, operator, until):
         self.recorder, self.fleet, self.links = recorder, fleet, links
         self.operator, self.until = operator, until
-        self.nodes_under_fault, self.voter_fault_lock = set(), asyncio.Lock()
+        self.nodes_under_fault = recorder.nodes_under_fault
+        self.voter_fault_lock = asyncio.Lock()
         self.fault_tasks = []
 
     def log(self, text):
@@ -49,6 +50,7 @@
         faults = (self.kill, self.kill, self.terminate, self.terminate, self.pause, self.wipe,
                   self.full_disk, self.cut_links, self.cut_links, self.delay_links, self.reset_links,
                   self.crash_upstream, self.upstream_fault, self.upstream_fault, self.drain_upstream,
+                  self.crash_segment,
                   self.config_series, self.config_series, self.evacuate, self.revoke)
         while time.monotonic() < self.until:
             fault = rng.choice(faults)
@@ -78,6 +80,7 @@
                     # Lets the voter catch up before the next fault.
                     await asyncio.sleep(RECOVERY_S / 3)
         finally:
+            self.recorder.known_at = time.monotonic()
             self.nodes_under_fault.discard(node)
 
     async def kill(self, seconds):
@@ -197,6 +200,12 @@
         upstream.mode = ""
         self.fleet.upstream_fault_at = time.monotonic()
 
+    async def crash_segment(self, _seconds):
+        """From now on some streams have a prompt segment that crashes upstreams."""
+        if not self.recorder.crash_segment:
+            self.recorder.crash_segment = "dead%d" % self.recorder.random.randrange(1000)
+            self.log("prompt segment " + self.recorder.crash_segment + " crashes upstreams")
+
     async def drain_upstream(self, seconds):
         upstream = self.pick_upstream()
         if upstream is None:
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -14,6 +14,7 @@
 EXECUTION_S = 0.04
 SERVER_STAMP = "soak"
 PAUSE_S = 1.5  # Retry-After of an upstream that is full
+RESTART_S = 1.0
 
 
 class Upstream:
@@ -22,7 +23,8 @@
     a response), "extra" (sends an unrequested second response), "endless"
     (sends bytes that are no response until the router closes the connection),
     "full" (refuses requests and names a time for which it wants none). While it
-    drains, all its responses say so."""
+    drains, all its responses say so. It crashes on requests with
+    `recorder.crash_segment`."""
 
     def __init__(self, recorder, name, service, domain, ip, port, slots):
         self.recorder, self.service, self.domain = recorder, service, domain
@@ -57,6 +59,14 @@
             writer.transport.abort()
         await asyncio.sleep(0)
 
+    async def crash_and_restart(self):
+        if self.mode == "crashed":
+            return
+        self.mode = "crashed"
+        await self.crash()
+        await asyncio.sleep(RESTART_S)
+        await self.start()
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -94,6 +104,10 @@
         self.running += 1
         execution = self.recorder.record_execution(self, attempt_id, method, headers, body)
         try:
+            if self.recorder.crashes_upstreams(headers):
+                self.recorder.record_crash()
+                asyncio.ensure_future(self.crash_and_restart())
+                return False
             if self.mode == "errors" and self.recorder.random.random() < 0.5:
                 writer.write(wire.response_bytes(
                     500, dict(id_headers, **{"Server-Stamp": SERVER_STAMP}), b"failed"))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,6 +9,9 @@
 DRAIN_S = 3.0  # until a router leaves an upstream alone that says it is leaving
 PAUSE_DELAY_S = 0.5  # the same after a refusal with Retry-After
 MAX_PAUSED_ARRIVALS = 2
+CRASHES = 5  # crashes on one prompt segment until the fleet must know it
+CONTACT_S = 3.0  # time to pass that on while no node is faulty
+MAX_LATE_CRASH_REQUESTS = 3
 SCHEDULING_SLACK_S = 0.25  # scheduling delay of the test itself
 
 
@@ -35,6 +38,10 @@
         self.requests = {}  # attempt id -> Request
         self.leaving = {}  # (node, upstream) -> (time of a passed-on "leaving", node faults)
         self.paused = {}  # (node, upstream) -> [start, end, arrivals, node faults]
+        self.nodes_under_fault = set()
+        self.crash_segment = ""  # prompt segment that crashes upstreams
+        self.crashes, self.late_crash_requests = 0, 0
+        self.known_at = 0.0  # time of the fifth crash, or of the last fault of a node after it
 
     def count(self, event):
         self.counts[event] = self.counts.get(event, 0) + 1
@@ -70,6 +77,22 @@
             if self.paused[(request.node, upstream)][1] < now:
                 del self.paused[(request.node, upstream)]
 
+    def crashes_upstreams(self, headers):
+        return bool(self.crash_segment) and self.crash_segment in headers.get("prompt-prefix", "")
+
+    def record_crash(self):
+        """Checks that a fleet without other faults stops requests that crash upstreams."""
+        now = time.monotonic()
+        self.count("crashes")
+        self.crashes += 1
+        if self.crashes == CRASHES or self.nodes_under_fault:
+            self.known_at = max(self.known_at, now)
+        if self.crashes > CRASHES and now > self.known_at + CONTACT_S:
+            self.late_crash_requests += 1
+            if self.late_crash_requests == MAX_LATE_CRASH_REQUESTS + 1:
+                self.report_violation("CRASHES", "%d upstreams crashed on one prompt segment" %
+                                      self.crashes)
+
     def record_execution(self, upstream, attempt_id, method, headers, body):
         now = time.monotonic()
         execution = {"upstream": upstream.id, "at": now, "ended": None}
