Believe a refusal only if it names the request

One with an earlier request's id was skipped here already; one without any id was taken for the answer. The caller of a request that had run was told 503 "not run", or the request ran at a second upstream.

Cause: a response without an id passed as one to this request, and its refusal as proof. Class of fault: absence of evidence taken as evidence.

Change: "not run" needs the request's id, and so does a failure that is passed on. A response without one leaves the outcome unknown: 502, repeated only where a repetition is harmless.

--- a/src/traffic/platform_codec.h
+++ b/src/traffic/platform_codec.h
@@ -28,9 +28,13 @@
 
 /// Data from the headers of an upstream's response.
 struct upstream_response_info {
+  /// The response names the request. One that does not may repeat the response
+  /// to an earlier request of the connection.
+  bool Identified = false;
   /// True for a success response with the upstream's signature.
   bool SignedSuccess = false;
-  /// The upstream guarantees that it did not execute the request.
+  /// The upstream guarantees that it did not execute the request. Only in a
+  /// response that names the request.
   bool NotRun = false;
   /// Another instance now has this address; the request was not executed.
   bool Misdirected = false;
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -54,10 +54,12 @@
 }
 
 bool isResponseValid(const traffic_request &Request) {
-  // An error response cannot continue a stream that has begun.
+  // An error response cannot continue a stream that has begun, and one that
+  // does not name the request may belong to another.
   const bool Acceptable = isSuccess(Request)
                               ? Request.Attempt.ResponseInfo.SignedSuccess
-                              : !Request.Exchange->answered();
+                              : Request.Attempt.ResponseInfo.Identified &&
+                                    !Request.Exchange->answered();
   return !Request.Attempt.Oversized && Acceptable;
 }
 
--- /dev/null
+++ b/tests/platform/test_broken_answers.cpp
@@ -0,0 +1,104 @@
+#include "flow_fixture.h"
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace arbutus;
+using namespace arbutus::platform::testing;
+using after = scripted_reply::after;
+
+namespace {
+
+constexpr auto NonIdempotent = store::request_kind::NonIdempotent;
+constexpr auto Stream = store::request_kind::Stream;
+
+const std::string Refusal = "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+// Guards against a refusal that a faulty upstream writes once more on a kept
+// connection and that is taken for the answer to the next request: its caller
+// would be told that it was not run, or it would run at a second upstream.
+TEST_CASE("a refusal of another request proves nothing") {
+  struct row {
+    std::string Name;
+    std::string Stray;
+    /// The request runs and its own answer follows the stray one.
+    bool Answers;
+  };
+  const std::vector<row> Rows = {
+      {"of an earlier request, then the answer",
+       "HTTP/1.1 503 X\r\nAttempt-Id: earlier\r\n" + Refusal, true},
+      {"without an id", "HTTP/1.1 503 X\r\n" + Refusal, false},
+      {"without an id, wrong instance", "HTTP/1.1 421 X\r\n" + Refusal, false},
+      {"without an id, then the answer", "HTTP/1.1 503 X\r\n" + Refusal, true},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    int Calls = 0;
+    const auto Reply = [&](const auto &Request) {
+      if (++Calls == 1) {
+        return answerTo(Request, "200 OK");
+      }
+      auto Bytes = Row.Stray;
+      if (Row.Answers) {
+        Bytes += answerTo(Request, "200 OK").Bytes;
+      }
+      return scripted_reply{Bytes, after::Keep};
+    };
+    flow_fixture Router({NonIdempotent}, {Reply, Reply});
+    Router.request();
+    const auto Exchange = Router.request();
+    CHECK(Exchange->Status != 503);
+    CHECK(Exchange->Status != 429);
+    CHECK(Calls == 2);
+  }
+}
+
+// Guards against an answer that was cut off and reaches the caller as a whole
+// success with an empty or short body.
+TEST_CASE("an answer that is cut off is no success") {
+  struct row {
+    std::string Name;
+    std::string Text;
+    after After;
+  };
+  const std::string Id = "Attempt-Id: r1\r\nServer-Stamp: s\r\n";
+  const std::vector<row> Rows = {
+      {"in the status line", "HTTP/1.1 200", after::Close},
+      {"after the status line", "HTTP/1.1 200 OK\r\n", after::Close},
+      {"inside a header", "HTTP/1.1 200 OK\r\n" + Id + "Content-Le",
+       after::Close},
+      {"inside the length", "HTTP/1.1 200 OK\r\n" + Id + "Content-Length: 1",
+       after::Close},
+      {"after the headers, before the empty line",
+       "HTTP/1.1 200 OK\r\n" + Id + "Content-Length: 10\r\n", after::Close},
+      {"before the body",
+       "HTTP/1.1 200 OK\r\n" + Id + "Content-Length: 10\r\n\r\n", after::Close},
+      {"inside the body",
+       "HTTP/1.1 200 OK\r\n" + Id + "Content-Length: 10\r\n\r\n12345",
+       after::Close},
+      {"inside a chunk",
+       "HTTP/1.1 200 OK\r\n" + Id +
+           "Transfer-Encoding: chunked\r\n\r\na\r\n12345",
+       after::Close},
+      {"before the last chunk",
+       "HTTP/1.1 200 OK\r\n" + Id +
+           "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+       after::Close},
+      {"without a length, reset", "HTTP/1.1 200 OK\r\n" + Id + "\r\n12345",
+       after::Reset},
+  };
+  for (const auto &Row : Rows) {
+    for (const auto Kind : {NonIdempotent, Stream}) {
+      CAPTURE(Row.Name, static_cast<int>(Kind));
+      flow_fixture Router({Kind}, {[&](const auto &) {
+                            return scripted_reply{Row.Text, Row.After};
+                          }});
+      const auto Exchange = Router.request();
+      CHECK((Exchange->Status >= 500 || Exchange->Aborted));
+      CHECK(Exchange->Status != 503);
+    }
+  }
+}
