Treat a stream that ends inside an event as broken off

It was passed on as complete with the partial event at its end, and not resumed.

Cause: the end of the HTTP response was taken for the end of the stream; the rest of the buffer was flushed to the caller.

Change: an event stream that ends inside an event ends the attempt as broken: it is resumed after the last whole event where that is allowed, and otherwise ends incomplete for the caller.

Shown: on "a broken stream is resumed or ends incomplete" fails in the rows without a length, and "a stream that ends inside an event is incomplete" for both framings.

--- a/src/traffic/event_splitter.h
+++ b/src/traffic/event_splitter.h
@@ -36,6 +36,12 @@
   /// event stream.
   [[nodiscard]] bool isTooLong() const noexcept { return TooLong; }
 
+  /// True while a part of an event was received and not its end. A stream that
+  /// ends there was broken off.
+  [[nodiscard]] bool hasPartialEvent() const noexcept {
+    return Buffer.find_first_not_of("\r\n") != std::string::npos;
+  }
+
   /// Id of the last event returned; nothing before the first.
   [[nodiscard]] std::optional<std::uint64_t> lastId() const noexcept {
     return LastId;
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -166,6 +166,14 @@
   enqueueRequest(Request);
 }
 
+/// True if a stream ended inside an event, however its connection ended: a
+/// response without a length also ends when its upstream is lost.
+bool endsInsideEvent(const traffic_request &Request,
+                     net::call_outcome Outcome) {
+  return Outcome == net::call_outcome::Complete && isSuccess(Request) &&
+         Request.Attempt.IsEventStream && Request.Events.hasPartialEvent();
+}
+
 /// Requests another slot for a request that was not sent after all.
 void requeueWithheld(const traffic_request_ptr &Request) {
   Request->Shard.Slots.release(Request->Id, upstream_result::Ignored);
@@ -186,6 +194,9 @@
     requeueWithheld(Request);
     return;
   }
+  if (endsInsideEvent(*Request, Outcome)) {
+    Outcome = net::call_outcome::AnswerBroken;
+  }
   auto &Shard = Request->Shard;
   const auto UpstreamResult = upstreamResultOf(*Request, Outcome);
   if (Request->Attempt.ResponseInfo.Load) {
@@ -257,6 +268,9 @@
   Request->Attempt.Headers = Headers;
   Request->Attempt.ResponseInfo =
       Request->Shard.Codec.ParseResponseHeaders(Status, Headers, Now);
+  constexpr std::string_view EventStreamType = "text/event-stream";
+  Request->Attempt.IsEventStream =
+      net::headerOf(Headers, "Content-Type").starts_with(EventStreamType);
   recordRestrictions(*Request, Now);
 }
 
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -28,7 +28,8 @@
   int Status = 0;
   net::http_headers Headers;
   upstream_response_info ResponseInfo;
-  std::string Body; ///< of responses that are not streamed
+  bool IsEventStream = false; ///< by its content type
+  std::string Body;           ///< of responses that are not streamed
   bool FirstByte = false;
   /// A whole event of a stream has arrived.
   bool FirstEvent = false;
--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -1,5 +1,6 @@
 #include "flow_fixture.h"
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <string>
 #include <vector>
@@ -14,6 +15,18 @@
 constexpr auto Stream = store::request_kind::Stream;
 
 const std::string Refusal = "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string EventOne = "id: 1\ndata: one\n\n";
+const std::string EventTwo = "id: 2\ndata: two\n\n";
+
+std::string chunk(const std::string &Bytes) {
+  return fmt::format("{:x}\r\n{}\r\n", Bytes.size(), Bytes);
+}
+
+std::string streamHead(const net::http_headers &Request,
+                       const std::string &Framing) {
+  return answerHead(Request, "200 OK",
+                    "Content-Type: text/event-stream\r\n" + Framing + "\r\n");
+}
 
 } // namespace
 
@@ -56,6 +69,79 @@
   }
 }
 
+// Guards against a stream that is continued with an error's text or head, or
+// that ends as if it were complete, after its upstream broke off.
+TEST_CASE("a broken stream is resumed or ends incomplete") {
+  struct row {
+    std::string Name;
+    /// What follows the first event at the first upstream, and how it ends.
+    std::string Rest;
+    after After;
+    std::string Framing;
+    /// Status and body of the second upstream.
+    std::string NextStatus;
+    std::string NextBody;
+    bool Complete;
+  };
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n";
+  const std::vector<row> Rows = {
+      {"the next answers with an error", "", after::Close, Chunked, "500 X",
+       "failed", false},
+      {"the next refuses", "", after::Close, Chunked, "503 X", "full", false},
+      {"the next answers with an error that looks like an event", "",
+       after::Close, Chunked, "429 X", EventTwo, false},
+      {"the next goes on", "", after::Close, Chunked, "200 OK", EventTwo, true},
+      {"broken inside an event", "id: 2\ndata: tw", after::Close, Chunked,
+       "200 OK", EventTwo, true},
+      {"without a length, ends inside an event", "id: 2\ndata: tw",
+       after::Close, "", "200 OK", EventTwo, true},
+      {"without a length, ends inside an event; the next fails",
+       "id: 2\ndata: tw", after::Close, "", "500 X", "failed", false},
+      {"without a length, reset", "", after::Reset, "", "200 OK", EventTwo,
+       true},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    const auto Reply = [&](const auto &Request) -> scripted_reply {
+      if (net::headerOf(Request, "Last-Event-Id") != "1") {
+        const auto Bytes = EventOne + Row.Rest;
+        return {streamHead(Request, Row.Framing) +
+                    (Row.Framing.empty() ? Bytes : chunk(Bytes)),
+                Row.After};
+      }
+      return {answerHead(Request, Row.NextStatus) +
+                  "Content-Length: " + std::to_string(Row.NextBody.size()) +
+                  "\r\n\r\n" + Row.NextBody,
+              after::Keep};
+    };
+    flow_fixture Router({Stream, true}, {Reply, Reply});
+    const auto Exchange = Router.request();
+    if (Exchange->Status != 200) {
+      continue; // a reset may overtake the first event
+    }
+    CHECK(Exchange->Aborted == !Row.Complete);
+    CHECK(Exchange->Body == (Row.Complete ? EventOne + EventTwo : EventOne));
+  }
+}
+
+// Guards against a stream that ends inside an event and is passed on as
+// complete, where it may not be resumed.
+TEST_CASE("a stream that ends inside an event is incomplete") {
+  for (const std::string Framing : {"", "Transfer-Encoding: chunked\r\n"}) {
+    CAPTURE(Framing);
+    const auto Reply = [&](const auto &Request) -> scripted_reply {
+      const auto Bytes = EventOne + "id: 2\ndata: tw";
+      return {streamHead(Request, Framing) +
+                  (Framing.empty() ? Bytes : chunk(Bytes) + "0\r\n\r\n"),
+              after::Close};
+    };
+    flow_fixture Router({Stream, false}, {Reply});
+    const auto Exchange = Router.request();
+    CHECK(Exchange->Aborted);
+    CHECK(Exchange->Body == EventOne);
+  }
+}
+
 // Guards against an answer that was cut off and reaches the caller as a whole
 // success with an empty or short body.
 TEST_CASE("an answer that is cut off is no success") {
