Split the traffic flow by what it decides

What an attempt's end means, which upstreams may be used, and what a lost upstream says about a prompt are modules of their own now; the flow keeps the order of steps. Code is moved, with one change: evidence of a crash is also recorded when the caller has left.

--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -1,10 +1,12 @@
 #include "traffic/traffic_flow.h"
 
-#include "base/digest.h"
 #include "base/log.h"
 #include "router/retry_policy.h"
+#include "traffic/attempt_outcome.h"
+#include "traffic/crash_detection.h"
 #include "traffic/traffic_admission.h"
 #include "traffic/traffic_end.h"
+#include "traffic/upstream_selection.h"
 
 #include <algorithm>
 
@@ -20,84 +22,10 @@
 
 /// Maximum size of a buffered response. A router with 88 MB buffers several.
 constexpr std::size_t MaxResponseBytes = std::size_t{4} << 20U;
-constexpr int MinNonSuccessStatus = 300;
-constexpr int MinServerErrorStatus = 500;
 
 void enqueueRequest(const traffic_request_ptr &Request);
 void onCallerDisconnected(const traffic_request_ptr &Request);
 
-/// Classifies the outcome of an attempt for the scheduler.
-upstream_result upstreamResultOf(const traffic_request &Request,
-                                 net::call_outcome Outcome) {
-  switch (Outcome) {
-  case net::call_outcome::NothingSent:
-    return upstream_result::Unreachable;
-  case net::call_outcome::Cancelled:
-  case net::call_outcome::DeadlinePassed:
-    return upstream_result::Ignored;
-  case net::call_outcome::SentNoAnswer:
-  case net::call_outcome::AnswerBroken:
-    return upstream_result::Failed;
-  case net::call_outcome::Complete:
-    break;
-  }
-  if (Request.Attempt.ResponseInfo.NotRun) {
-    return upstream_result::Overloaded;
-  }
-  return Request.Attempt.Status < MinServerErrorStatus
-             ? upstream_result::Succeeded
-             : upstream_result::Failed;
-}
-
-bool isSuccess(const traffic_request &Request) {
-  return Request.Attempt.Status < MinNonSuccessStatus;
-}
-
-bool isResponseValid(const traffic_request &Request) {
-  // An error response cannot continue a stream that has begun, and one that
-  // does not name the request may belong to another.
-  const bool Acceptable = isSuccess(Request)
-                              ? Request.Attempt.ResponseInfo.SignedSuccess
-                              : Request.Attempt.ResponseInfo.Identified &&
-                                    !Request.Exchange->answered();
-  return !Request.Attempt.Oversized && Acceptable;
-}
-
-router::attempt_result attemptResultOf(traffic_request &Request,
-                                       net::call_outcome Outcome,
-                                       bool SuspectedOfCrash) {
-  const instant Now = monotonic_clock::now();
-  router::attempt_result Result;
-  Result.Outcome = Outcome;
-  Result.Status = Request.Attempt.Status;
-  Result.RejectedBeforeExecution = Request.Attempt.ResponseInfo.NotRun;
-  Result.ResponseValid = isResponseValid(Request);
-  Result.ResponseStarted = Request.Exchange->answered();
-  Result.Idempotent = Request.isRetryable();
-  Result.Resumable = Request.Route->Resumable && Request.Events.resumable() &&
-                     Request.Events.lastId().has_value();
-  Result.HasAttemptsLeft = Request.Attempts < Request.Route->MaxAttempts;
-  Result.HasTimeLeft =
-      Now < Request.Deadline && router::holdsLease(Request.Shard.Context, Now);
-  Result.SuspectedOfCrash = SuspectedOfCrash;
-  Result.HasRetryBudget = true;
-  const auto Step = router::decideRetryAction(Result).Action;
-  if (Step == retry_action::Retry || Step == retry_action::Resume) {
-    Result.HasRetryBudget = Request.Shard.Retries.tryWithdraw(Request.Service);
-  }
-  return Result;
-}
-
-/// Names of segments as the store has them, separated by commas.
-std::string segmentNames(const std::vector<router::segment_hash> &Segments) {
-  std::string Names;
-  for (const auto Segment : Segments) {
-    Names += Names.empty() ? "" : ",";
-    Names += store::quarantineName(number(Segment));
-  }
-  return Names;
-}
-
 /// Sends complete events of a stream to the caller.
 void forwardEvents(traffic_request &Request, std::string Events) {
   if (Events.empty()) {
@@ -113,48 +41,6 @@
   Request.Exchange->writeChunk(std::move(Events));
 }
 
-/// True if the upstream was lost before it answered: its connection ended
-/// without a whole answer, or without a whole event of a stream.
-bool isUpstreamLost(const traffic_request &Request, net::call_outcome Outcome) {
-  const bool ConnectionEnded = Outcome == net::call_outcome::SentNoAnswer ||
-                               Outcome == net::call_outcome::AnswerBroken;
-  return ConnectionEnded && !Request.Attempt.FirstEvent &&
-         !Request.Attempt.Oversized;
-}
-
-/// Identifies the run of the upstream in crash reports.
-router::upstream_run_hash runHash(const upstream_attempt &Attempt) {
-  return router::upstream_run_hash{
-      hash64(Attempt.Instance, Attempt.InstanceStartedMs)};
-}
-
-/// Records what the end of an attempt says about the prompt: whether it may
-/// crash upstreams. Returns true if the request must not get another one.
-bool recordCrashEvidence(const traffic_request &Request,
-                         net::call_outcome Outcome) {
-  auto &Crashes = Request.Shard.Context.Crashes;
-  const auto &Segments = Request.SharedSegments;
-  const instant Now = monotonic_clock::now();
-  if (Segments.empty()) {
-    return false;
-  }
-  if (Outcome == net::call_outcome::Complete &&
-      Request.Attempt.ResponseInfo.SignedSuccess) {
-    Crashes.onAnswered(Segments, Now);
-  }
-  if (!isUpstreamLost(Request, Outcome)) {
-    return false;
-  }
-  const bool Suspected = Crashes.isSuspected(Segments);
-  Crashes.onUpstreamLost(runHash(Request.Attempt), Segments, Now);
-  logEvent(log_level::Info, "upstream_lost",
-           {{"request", Request.Caller.Id},
-            {"upstream", Request.Attempt.Instance},
-            {"segments", segmentNames(Segments)},
-            {"suspected", Suspected}});
-  return Suspected;
-}
-
 /// Requests another slot after a failed attempt. The dispatch deadline of the
 /// first attempt no longer applies: a late response is better than none.
 void retryRequest(const traffic_request_ptr &Request) {
@@ -166,14 +52,6 @@
   enqueueRequest(Request);
 }
 
-/// True if a stream ended inside an event, however its connection ended: a
-/// response without a length also ends when its upstream is lost.
-bool endsInsideEvent(const traffic_request &Request,
-                     net::call_outcome Outcome) {
-  return Outcome == net::call_outcome::Complete && isSuccess(Request) &&
-         Request.Attempt.IsEventStream && Request.Events.hasPartialEvent();
-}
-
 /// Requests another slot for a request that was not sent after all.
 void requeueWithheld(const traffic_request_ptr &Request) {
   Request->Shard.Slots.release(Request->Id, upstream_result::Ignored);
@@ -207,12 +85,12 @@
   if (Request->Phase == request_phase::Finished) {
     return; // aborted
   }
+  const bool SuspectedOfCrash = recordCrashEvidence(*Request, Outcome);
   if (Request->CallerDisconnected) {
     completeDisconnected(Request);
     return;
   }
-  const bool SuspectedOfCrash = recordCrashEvidence(*Request, Outcome);
-  const auto Result = attemptResultOf(*Request, Outcome, SuspectedOfCrash);
+  const auto Result = makeAttemptResult(*Request, Outcome, SuspectedOfCrash);
   const auto Decision = router::decideRetryAction(Result);
   Request->MayHaveExecuted =
       Request->MayHaveExecuted || !router::isProvenNotExecuted(Result);
@@ -241,26 +119,6 @@
   failRequest(Request, Decision.Error, Decision.Outcome);
 }
 
-/// Records what the response says about further requests to its upstream.
-void recordRestrictions(const traffic_request &Request, instant Now) {
-  const auto &Attempt = Request.Attempt;
-  const auto &Info = Attempt.ResponseInfo;
-  auto &Restrictions = Request.Shard.Restrictions;
-  if (Info.RetryAfter) {
-    Restrictions.pause(upstreamRunOf(Attempt), Now + *Info.RetryAfter, Now);
-    logEvent(log_level::Info, "upstream_paused",
-             {{"upstream", Attempt.Instance},
-              {"request", Request.Caller.Id},
-              {"pause_us", toMicros(*Info.RetryAfter)}});
-  }
-  if (Info.Leaving && Restrictions.markLeaving(upstreamRunOf(Attempt), Now)) {
-    logEvent(log_level::Info, "upstream_leaving",
-             {{"upstream", Attempt.Instance},
-              {"request", Request.Caller.Id},
-              {"status", Attempt.Status}});
-  }
-}
-
 void onCallHeaders(const traffic_request_ptr &Request, int Status,
                    const net::http_headers &Headers) {
   const instant Now = monotonic_clock::now();
@@ -305,62 +163,6 @@
   }
 }
 
-/// The view in force, which includes instances that were added or removed since
-/// a request arrived.
-std::shared_ptr<const store::config_view>
-currentView(const traffic_shard &Shard) {
-  return Shard.Context.Routing.read(
-      [](const router::routing_state &State) { return State.View; });
-}
-
-/// True if the instance may get a request now.
-bool isSendable(const traffic_shard &Shard,
-                const store::instance_entry &Instance, instant Now) {
-  return Instance.Usable && !Shard.Restrictions.isRestricted(
-                                {Instance.Name, Instance.Spec->StartedMs}, Now);
-}
-
-/// Upstreams that must not get a request.
-struct excluded_upstreams {
-  std::vector<upstream_id> Ids;
-  /// When the first of those that want no requests may be used again.
-  instant FirstUsable = instant::max();
-};
-
-/// Excludes the upstreams that have failed the request, and those of its
-/// service that want no requests of this router.
-excluded_upstreams excludedUpstreams(const traffic_request &Request,
-                                     instant Now) {
-  excluded_upstreams Excluded{Request.Excluded};
-  const auto &Restrictions = Request.Shard.Restrictions;
-  if (Restrictions.size() == 0) {
-    return Excluded;
-  }
-  const auto View = currentView(Request.Shard);
-  const auto &List = View->traffic().instances(Request.Service);
-  Restrictions.visit(Now, [&](const upstream_run &Restricted, instant Until) {
-    const auto Found = std::lower_bound(
-        List.begin(), List.end(), Restricted.Name,
-        [](const auto &Entry, auto Name) { return Entry.Name < Name; });
-    if (Found != List.end() && Found->Name == Restricted.Name &&
-        Found->Spec->StartedMs == Restricted.StartedMs) {
-      Excluded.Ids.push_back(Found->Id);
-      Excluded.FirstUsable = std::min(Excluded.FirstUsable, Until);
-    }
-  });
-  return Excluded;
-}
-
-const store::instance_entry *findInstance(const store::traffic_view &Traffic,
-                                          std::string_view Service,
-                                          upstream_id Upstream) {
-  const auto &List = Traffic.instances(Service);
-  const auto It =
-      std::find_if(List.begin(), List.end(),
-                   [&](const auto &Entry) { return Entry.Id == Upstream; });
-  return It == List.end() ? nullptr : &*It;
-}
-
 /// True if the request may still be written to its upstream. Connecting takes
 /// time, in which the lease may end or the upstream may begin to drain.
 bool mayWrite(traffic_request &Request) {
--- /dev/null
+++ b/src/traffic/upstream_selection.cpp
@@ -0,0 +1,72 @@
+#include "traffic/upstream_selection.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace arbutus::traffic {
+
+std::shared_ptr<const store::config_view>
+currentView(const traffic_shard &Shard) {
+  return Shard.Context.Routing.read(
+      [](const router::routing_state &State) { return State.View; });
+}
+
+const store::instance_entry *findInstance(const store::traffic_view &Traffic,
+                                          std::string_view Service,
+                                          upstream_id Upstream) {
+  const auto &List = Traffic.instances(Service);
+  const auto It =
+      std::find_if(List.begin(), List.end(),
+                   [&](const auto &Entry) { return Entry.Id == Upstream; });
+  return It == List.end() ? nullptr : &*It;
+}
+
+bool isSendable(const traffic_shard &Shard,
+                const store::instance_entry &Instance, instant Now) {
+  return Instance.Usable && !Shard.Restrictions.isRestricted(
+                                {Instance.Name, Instance.Spec->StartedMs}, Now);
+}
+
+excluded_upstreams excludedUpstreams(const traffic_request &Request,
+                                     instant Now) {
+  excluded_upstreams Excluded{Request.Excluded};
+  const auto &Restrictions = Request.Shard.Restrictions;
+  if (Restrictions.size() == 0) {
+    return Excluded;
+  }
+  const auto View = currentView(Request.Shard);
+  const auto &List = View->traffic().instances(Request.Service);
+  Restrictions.visit(Now, [&](const upstream_run &Restricted, instant Until) {
+    const auto Found = std::lower_bound(
+        List.begin(), List.end(), Restricted.Name,
+        [](const auto &Entry, auto Name) { return Entry.Name < Name; });
+    if (Found != List.end() && Found->Name == Restricted.Name &&
+        Found->Spec->StartedMs == Restricted.StartedMs) {
+      Excluded.Ids.push_back(Found->Id);
+      Excluded.FirstUsable = std::min(Excluded.FirstUsable, Until);
+    }
+  });
+  return Excluded;
+}
+
+void recordRestrictions(const traffic_request &Request, instant Now) {
+  const auto &Attempt = Request.Attempt;
+  const auto &Info = Attempt.ResponseInfo;
+  auto &Restrictions = Request.Shard.Restrictions;
+  if (Info.RetryAfter) {
+    Restrictions.pause(upstreamRunOf(Attempt), Now + *Info.RetryAfter, Now);
+    logEvent(log_level::Info, "upstream_paused",
+             {{"upstream", Attempt.Instance},
+              {"request", Request.Caller.Id},
+              {"pause_us", toMicros(*Info.RetryAfter)}});
+  }
+  if (Info.Leaving && Restrictions.markLeaving(upstreamRunOf(Attempt), Now)) {
+    logEvent(log_level::Info, "upstream_leaving",
+             {{"upstream", Attempt.Instance},
+              {"request", Request.Caller.Id},
+              {"status", Attempt.Status}});
+  }
+}
+
+} // namespace arbutus::traffic
