Skip the search for an instance while the view is unchanged

The check right before writing looked the instance up in the list for every request, 256 entries on the large site. While the view is the one of the grant, nothing can have changed but lease and restrictions.

--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -163,17 +163,26 @@
   }
 }
 
+/// True if the list of instances still has the attempt's upstream in use.
+bool isUpstreamInUse(const traffic_request &Request) {
+  const auto View = currentView(Request.Shard);
+  if (View == Request.Attempt.View) {
+    return true; // nothing has changed since the slot was granted
+  }
+  const auto *Instance =
+      findInstance(View->traffic(), Request.Service, Request.Attempt.Upstream);
+  return Instance != nullptr && Instance->Usable &&
+         !View->traffic().isQuarantined(Request.SharedSegments);
+}
+
 /// True if the request may still be written to its upstream. Connecting takes
 /// time, in which the lease may end or the upstream may begin to drain.
 bool mayWrite(traffic_request &Request) {
   const instant Now = monotonic_clock::now();
-  const auto View = currentView(Request.Shard);
-  const auto *Instance =
-      findInstance(View->traffic(), Request.Service, Request.Attempt.Upstream);
+  const auto &Shard = Request.Shard;
   Request.Attempt.Withheld =
-      !router::holdsLease(Request.Shard.Context, Now) || Instance == nullptr ||
-      !isSendable(Request.Shard, *Instance, Now) ||
-      View->traffic().isQuarantined(Request.SharedSegments);
+      !router::holdsLease(Shard.Context, Now) || !isUpstreamInUse(Request) ||
+      Shard.Restrictions.isRestricted(upstreamRunOf(Request.Attempt), Now);
   return !Request.Attempt.Withheld;
 }
 
@@ -241,6 +250,7 @@
   Request->Attempt.Upstream = Upstream;
   Request->Attempt.Instance = Instance->Name;
   Request->Attempt.InstanceStartedMs = Instance->Spec->StartedMs;
+  Request->Attempt.View = View;
   Request->Attempt.SentAt = Now;
   Shard.Context.Metrics.observe(router::latency_stage::Waiting,
                                 Now - Request->Arrived);
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -25,6 +25,8 @@
   std::uint64_t InstanceStartedMs = 0;
   net::call_id Call{};
   instant SentAt;
+  /// View in force when the slot was granted.
+  std::shared_ptr<const store::config_view> View;
   int Status = 0;
   net::http_headers Headers;
   upstream_response_info ResponseInfo;
