Use a restarted upstream again where the list has no start times

Found in reading: the platform's list need not have start times, and an upstream may start again under its name.

Change: the list that has an upstream as ready again, after it had not, lifts its restrictions; a leaving upstream is remembered for ten minutes at most, which is far longer than a drain.

Shown: the rows without start times of "a request is refused at once while all upstreams are leaving" fail without it (503 in place of 200).

--- a/src/traffic/traffic_shard.h
+++ b/src/traffic/traffic_shard.h
@@ -40,6 +40,8 @@
   slot_allocator Slots;
   /// What upstreams have asked of this router in their responses.
   upstream_restrictions Restrictions;
+  /// View that `Restrictions` was last compared with.
+  std::shared_ptr<const store::config_view> RestrictionsView;
   /// Requests of this shard. Expired pointers are removed when the size reaches
   /// `CleanupThreshold`.
   std::vector<std::weak_ptr<traffic_request>> Requests;
--- a/src/traffic/upstream_restrictions.cpp
+++ b/src/traffic/upstream_restrictions.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Time for which a leaving upstream is remembered. An upstream that is still
-/// running then has to announce it again.
-constexpr duration LeavingRetention = 24h;
+/// Time for which a leaving upstream is remembered. It is far longer than a
+/// drain takes, and bounds the loss if an upstream restarts unnoticed.
+constexpr duration LeavingRetention = 10 * 60s;
 
 } // namespace
 
--- a/src/traffic/upstream_restrictions.h
+++ b/src/traffic/upstream_restrictions.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <string>
 #include <string_view>
@@ -44,12 +45,27 @@
     }
   }
 
+  /// Compares with the list of instances after it has changed.
+  /// `IsInService(Name)` says whether the list has the upstream as ready. One
+  /// that was not and is again has been restarted, which lifts its restrictions
+  /// also where the list has no start times.
+  template <class Predicate> void applyList(Predicate IsInService) {
+    for (auto I = Entries.begin(); I != Entries.end();) {
+      const bool InService = IsInService(std::string_view(I->first));
+      const bool Restarted = InService && I->second.WasOutOfService;
+      I->second.WasOutOfService = !InService;
+      I = Restarted ? Entries.erase(I) : std::next(I);
+    }
+  }
+
   [[nodiscard]] std::size_t size() const noexcept { return Entries.size(); }
 
 private:
   struct restriction {
     std::uint64_t StartedMs = 0;
     bool Leaving = false;
+    /// The list has not had the upstream as ready since the restriction.
+    bool WasOutOfService = false;
     instant Until;
   };
 
--- a/src/traffic/upstream_selection.cpp
+++ b/src/traffic/upstream_selection.cpp
@@ -3,9 +3,42 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutus::traffic {
 
+namespace {
+
+/// The instance with this name, or null.
+const store::instance_entry *
+findByName(const std::vector<store::instance_entry> &List,
+           std::string_view Name) {
+  const auto Found = std::lower_bound(
+      List.begin(), List.end(), Name,
+      [](const auto &Entry, auto Wanted) { return Entry.Name < Wanted; });
+  return Found != List.end() && Found->Name == Name ? &*Found : nullptr;
+}
+
+/// Lifts the restrictions of upstreams that have been restarted.
+void refreshRestrictions(traffic_shard &Shard,
+                         std::shared_ptr<const store::config_view> View) {
+  if (Shard.RestrictionsView == View) {
+    return;
+  }
+  const auto &Traffic = View->traffic();
+  const auto Services = Traffic.serviceNames();
+  Shard.Restrictions.applyList([&](std::string_view Name) {
+    return std::any_of(Services.begin(), Services.end(), [&](auto Service) {
+      const auto *Entry = findByName(Traffic.instances(Service), Name);
+      return Entry != nullptr &&
+             Entry->Spec->State == store::upstream_state::In;
+    });
+  });
+  Shard.RestrictionsView = std::move(View);
+}
+
+} // namespace
+
 std::shared_ptr<const store::config_view>
 currentView(const traffic_shard &Shard) {
   return Shard.Context.Routing.read(
@@ -36,13 +69,11 @@
     return Excluded;
   }
   const auto View = currentView(Request.Shard);
+  refreshRestrictions(Request.Shard, View);
   const auto &List = View->traffic().instances(Request.Service);
   Restrictions.visit(Now, [&](const upstream_run &Restricted, instant Until) {
-    const auto Found = std::lower_bound(
-        List.begin(), List.end(), Restricted.Name,
-        [](const auto &Entry, auto Name) { return Entry.Name < Name; });
-    if (Found != List.end() && Found->Name == Restricted.Name &&
-        Found->Spec->StartedMs == Restricted.StartedMs) {
+    const auto *Found = findByName(List, Restricted.Name);
+    if (Found != nullptr && Found->Spec->StartedMs == Restricted.StartedMs) {
       Excluded.Ids.push_back(Found->Id);
       Excluded.FirstUsable = std::min(Excluded.FirstUsable, Until);
     }
--- a/tests/platform/test_upstream_requests.cpp
+++ b/tests/platform/test_upstream_requests.cpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace arbutus;
@@ -50,20 +51,52 @@
 // Guards against callers that wait although every upstream of their service is
 // leaving, and against a restarted upstream that is never used again.
 TEST_CASE("a request is refused at once while all upstreams are leaving") {
-  bool Leaving = true;
-  flow_fixture Router({}, {[&](const auto &Request) {
-                        return answerTo(Request, "200 OK",
-                                        Leaving ? "Server-Leaving: 1\r\n" : "");
-                      }});
-  CHECK(Router.request()->Status == 200);
-  CHECK(Router.request()->Status == 503);
-  CHECK(Router.Upstreams[0]->Requests == 1);
-  Leaving = false;
-  Router.applyRouting();
-  CHECK(Router.request()->Status == 503);
-  Router.StartedMs += 5'000;
-  Router.applyRouting();
-  CHECK(Router.request()->Status == 200);
+  struct row {
+    std::string Name;
+    std::uint64_t StartedMs;
+    /// Changes of the list after the upstream has said that it is leaving, and
+    /// the status of a request after each.
+    std::vector<std::pair<std::function<void(flow_fixture &)>, int>> Lists;
+  };
+  const auto Unchanged = [](flow_fixture &) {};
+  const auto Restarted = [](flow_fixture &Router) {
+    Router.StartedMs += 5'000;
+  };
+  const auto Drains = [](flow_fixture &Router) { Router.Draining = {0}; };
+  const auto Missing = [](flow_fixture &Router) { Router.Hidden = {0}; };
+  const auto Ready = [](flow_fixture &Router) {
+    Router.Draining = {};
+    Router.Hidden = {};
+  };
+  const std::vector<row> Rows = {
+      {"another start time", 1'000, {{Unchanged, 503}, {Restarted, 200}}},
+      {"no start times; drains and is back",
+       0,
+       {{Unchanged, 503}, {Drains, 503}, {Ready, 200}}},
+      {"no start times; is gone and back",
+       0,
+       {{Unchanged, 503}, {Missing, 503}, {Ready, 200}}},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    bool Leaving = true;
+    flow_fixture Router({}, {[&](const auto &Request) {
+                          return answerTo(Request, "200 OK",
+                                          Leaving ? "Server-Leaving: 1\r\n"
+                                                  : "");
+                        }});
+    Router.StartedMs = Row.StartedMs;
+    Router.applyRouting();
+    CHECK(Router.request()->Status == 200);
+    CHECK(Router.request()->Status == 503);
+    CHECK(Router.Upstreams[0]->Requests == 1);
+    Leaving = false;
+    for (const auto &[Change, Status] : Row.Lists) {
+      Change(Router);
+      Router.applyRouting();
+      CHECK(Router.request()->Status == Status);
+    }
+  }
 }
 
 // Guards against a request that is written to an upstream that has begun to
