Quarantine what crashing requests share, and only after real crashes

Cause, from the logs: (1) where a shared prefix is asked for seldom, no router answers a request with it within 700 ms, so that it looks as guilty as the segment that crashes upstreams.

Ruled out: a longer time to clear segments; at 50 crashes a second it costs upstreams, and a seldom prefix is still not answered.

Change: the verdict is on all segments together that the lost requests have in common, the most specific set first, and its crashes do not speak against others; a request with only some of the segments passes, and its answer clears these. A loss counts only if the upstream does not answer any router within 1.5 s (the leader names lost upstreams, routers report those that answer a later request), and losses must lie 500 ms apart in all, so that a lost failure domain is no evidence. The leader compares the reports each 100 ms, not at each heartbeat.

--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -79,7 +79,7 @@
           limitLease(Lease.Lease, SessionHeartbeat.AppliedRevision, Now));
     }
   }
-  Reply.Suspects = Crashes.suspects(Now);
+  Reply.Suspicions = Crashes.suspicions();
   Reply.NodesVersion = Sessions.nodesVersion();
   if (Heartbeat.NodesTerm != Term ||
       Heartbeat.NodesVersion != Reply.NodesVersion) {
@@ -130,7 +130,10 @@
   }
   handleSessionEvents(Commands, Now);
   logInstanceAge(Store, Now);
-  quarantineGuiltySegments(Commands, Now);
+  if (Now >= LastCrashUpdate + crash_correlator::UpdateInterval) {
+    LastCrashUpdate = Now;
+    quarantineGuiltySegments(Commands, Now);
+  }
   if (Sessions.nodesVersion() != SentNodesVersion) {
     SentNodesVersion = Sessions.nodesVersion();
     for (const auto &Node : Sessions.liveNodes()) {
@@ -222,15 +225,15 @@
 
 void leader_duties::quarantineGuiltySegments(
     std::vector<store::command> &Commands, instant Now) {
-  store::quarantine_command Quarantine;
-  for (const auto Segment : Crashes.takeGuilty(Now)) {
-    Quarantine.Names.push_back(store::quarantineName(number(Segment)));
+  for (const auto &Guilty : Crashes.update(Now)) {
+    store::quarantine_command Quarantine;
+    for (const auto Segment : Guilty) {
+      Quarantine.Segments.push_back(store::segmentName(number(Segment)));
+    }
+    Quarantine.DurationMs = toMicros(QuarantineTime) / 1000;
     logEvent(log_level::Warning, "prompt_quarantined",
-             {{"segment", Quarantine.Names.back()},
+             {{"segments", store::quarantineName(Quarantine.Segments)},
               {"duration_us", toMicros(QuarantineTime)}});
-  }
-  if (!Quarantine.Names.empty()) {
-    Quarantine.DurationMs = toMicros(QuarantineTime) / 1000;
     Commands.push_back(store::makeCommand(std::move(Quarantine)));
   }
 }
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -113,6 +113,7 @@
   instant LastPlacement;
   instant LastClaimExpiry;
   instant LastVoterCheck;
+  instant LastCrashUpdate;
   bool OwnerlessClaimsAbandoned = false;
 };
 
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -75,13 +75,11 @@
   /// Voters and learners that the sender knows. Only the leader's list is
   /// complete.
   std::vector<std::uint32_t> ControlNodes;
-  /// Prompt segments that may have crashed upstreams, to be cleared by routers
-  /// that get answers to requests with them.
-  std::vector<router::segment_hash> Suspects;
+  router::crash_suspicions Suspicions;
 
   MSGPACK_DEFINE(FromLeader, LeaderHint, Term, CommittedRevision, SendTimeUs,
                  LeaseUs, LastEndedIncarnation, HasNodes, NodesVersion, Nodes,
-                 ControlNodes, Suspects)
+                 ControlNodes, Suspicions)
 };
 
 /// `claim_request`: a router sends a store command to the leader.
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -251,7 +251,7 @@
     return;
   }
   if (Reply.SendTimeUs != 0) {
-    Context->Crashes.setLeaderSuspects(Reply.Suspects, Now);
+    Context->Crashes.setLeaderSuspicions(Reply.Suspicions, Now);
   }
   applyLiveNodes(Reply);
   applyLease(Reply);
--- a/src/router/crash_evidence.cpp
+++ b/src/router/crash_evidence.cpp
@@ -21,13 +21,29 @@
                                     instant Now) {
   const std::lock_guard Lock(Mutex);
   forgetExpired(Now);
+  if (Segments.empty() || Crashes.size() == MaxFindings) {
+    return;
+  }
+  Crashes.push_back({{Upstream, Segments}, Now});
+  LostUpstreams.try_emplace(Upstream, Now);
+  HasLostUpstreams = true;
   for (const auto Segment : Segments) {
-    if (Crashes.size() == MaxFindings) {
-      break;
-    }
-    Crashes.push_back({{Segment, Upstream}, Now});
     OwnSuspects[Segment] = Now;
-    HasSuspects = true;
+  }
+  HasSuspects = true;
+}
+
+void crash_evidence::onResponse(upstream_run_hash Upstream, instant SentAt,
+                                instant Now) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = LostUpstreams.find(Upstream);
+  if (Found == LostUpstreams.end() || SentAt <= Found->second) {
+    return;
+  }
+  LostUpstreams.erase(Found);
+  HasLostUpstreams = !LostUpstreams.empty();
+  if (Alive.size() < MaxFindings) {
+    Alive.push_back({Upstream, Now});
   }
 }
 
@@ -58,12 +74,23 @@
   });
 }
 
-void crash_evidence::setLeaderSuspects(
-    const std::vector<segment_hash> &Segments, instant Now) {
+void crash_evidence::setLeaderSuspicions(const crash_suspicions &Suspicions,
+                                         instant Now) {
+  const bool NoneBeforeAndNow =
+      Suspicions.Segments.empty() && Suspicions.LostUpstreams.empty() &&
+      !HasSuspects.load(std::memory_order_relaxed) &&
+      !HasLostUpstreams.load(std::memory_order_relaxed);
+  if (NoneBeforeAndNow) {
+    return;
+  }
   const std::lock_guard Lock(Mutex);
   forgetExpired(Now);
-  LeaderSuspects = {Segments.begin(), Segments.end()};
+  LeaderSuspects = {Suspicions.Segments.begin(), Suspicions.Segments.end()};
+  for (const auto Upstream : Suspicions.LostUpstreams) {
+    LostUpstreams.try_emplace(Upstream, Now);
+  }
   HasSuspects = !OwnSuspects.empty() || !LeaderSuspects.empty();
+  HasLostUpstreams = !LostUpstreams.empty();
 }
 
 crash_findings crash_evidence::findings(instant Now) {
@@ -76,6 +103,9 @@
   for (const auto &Entry : Cleared) {
     Findings.Cleared.push_back(Entry.Segment);
   }
+  for (const auto &Entry : Alive) {
+    Findings.Alive.push_back(Entry.Upstream);
+  }
   return Findings;
 }
 
@@ -85,9 +115,12 @@
   };
   std::erase_if(Crashes, IsOld);
   std::erase_if(Cleared, IsOld);
-  std::erase_if(OwnSuspects, [Now](const auto &Entry) {
+  std::erase_if(Alive, IsOld);
+  const auto IsOldSuspicion = [Now](const auto &Entry) {
     return Entry.second + OwnSuspicionLifetime < Now;
-  });
+  };
+  std::erase_if(OwnSuspects, IsOldSuspicion);
+  std::erase_if(LostUpstreams, IsOldSuspicion);
 }
 
 } // namespace arbutus::router
--- a/src/router/crash_evidence.h
+++ b/src/router/crash_evidence.h
@@ -23,6 +23,15 @@
   void onUpstreamLost(upstream_run_hash Upstream,
                       const std::vector<segment_hash> &Segments, instant Now);
 
+  /// An upstream answers a request that was sent at `SentAt`. If it was
+  /// reported lost before, only connections to it were.
+  void onResponse(upstream_run_hash Upstream, instant SentAt, instant Now);
+
+  /// True if `onResponse` has something to look for.
+  [[nodiscard]] bool hasLostUpstreams() const noexcept {
+    return HasLostUpstreams.load(std::memory_order_relaxed);
+  }
+
   /// An upstream has answered a request with these shared segments to its end,
   /// so none of them crashes upstreams.
   void onAnswered(const std::vector<segment_hash> &Segments, instant Now);
@@ -32,9 +41,8 @@
   [[nodiscard]] bool
   isSuspected(const std::vector<segment_hash> &Segments) const;
 
-  /// Sets the segments that the leader suspects.
-  void setLeaderSuspects(const std::vector<segment_hash> &Segments,
-                         instant Now);
+  /// Sets what the leader suspects.
+  void setLeaderSuspicions(const crash_suspicions &Suspicions, instant Now);
 
   /// What the next heartbeat carries. Each finding is returned for some time,
   /// because a heartbeat may be lost.
@@ -49,17 +57,26 @@
     segment_hash Segment{};
     instant At;
   };
+  struct alive_upstream {
+    upstream_run_hash Upstream{};
+    instant At;
+  };
 
   void forgetExpired(instant Now);
 
   mutable std::mutex Mutex;
   std::vector<recorded_crash> Crashes;
   std::vector<cleared_segment> Cleared;
+  std::vector<alive_upstream> Alive;
   /// Segments of own crashes, until the leader's list has them.
   std::map<segment_hash, instant> OwnSuspects;
   std::set<segment_hash> LeaderSuspects;
-  /// Spares the lock while there are no suspects, as in normal operation.
+  /// Upstreams that were lost here or elsewhere, with the time at which this
+  /// router got to know.
+  std::map<upstream_run_hash, instant> LostUpstreams;
+  /// These spare the lock while nothing was lost, as in normal operation.
   std::atomic<bool> HasSuspects = false;
+  std::atomic<bool> HasLostUpstreams = false;
 };
 
 } // namespace arbutus::router
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -168,13 +168,12 @@
   MSGPACK_DEFINE(Changed, Gone)
 };
 
-/// Quarantines prompt segments, by the names of `quarantineName`, from the log
-/// time of the command on.
+/// Quarantines prompt segments together, from the log time of the command on.
 struct quarantine_command {
-  std::vector<std::string> Names;
+  std::vector<std::string> Segments;
   std::int64_t DurationMs = 0;
 
-  MSGPACK_DEFINE(Names, DurationMs)
+  MSGPACK_DEFINE(Segments, DurationMs)
 };
 
 /// Any command; the order of the alternatives is part of the log format.
@@ -185,9 +184,9 @@
                      replace_config_command, set_domain_command,
                      sync_instances_command, quarantine_command> {};
 
-/// Newest version of the format of a log entry that this program reads. An entry
-/// is written in the oldest version that has its commands, so that voters of an
-/// earlier program read it; an entry that they cannot read stops them.
+/// Newest version of the format of a log entry that this program reads. An
+/// entry is written in the oldest version that has its commands, so that voters
+/// of an earlier program read it; an entry that they cannot read stops them.
 inline constexpr char BatchVersion = 2;
 /// Without `quarantine_command`.
 inline constexpr char FirstBatchVersion = 1;
--- a/src/store/quarantine.cpp
+++ b/src/store/quarantine.cpp
@@ -1,17 +1,17 @@
 #include "store/quarantine.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <charconv>
 
 namespace arbutus::store {
 
-std::string quarantineName(std::uint64_t SegmentHash) {
-  return fmt::format("{:016x}", SegmentHash);
+std::string segmentName(std::uint64_t Hash) {
+  return fmt::format("{:016x}", Hash);
 }
 
-std::optional<std::uint64_t>
-quarantinedSegment(std::string_view Name) noexcept {
+std::optional<std::uint64_t> segmentHash(std::string_view Name) noexcept {
   constexpr int Hexadecimal = 16;
   std::uint64_t Hash = 0;
   const char *Last = Name.data() + Name.size();
@@ -23,4 +23,8 @@
   return Hash;
 }
 
+std::string quarantineName(const std::vector<std::string> &Segments) {
+  return fmt::format("{}", fmt::join(Segments, "."));
+}
+
 } // namespace arbutus::store
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -254,9 +254,9 @@
     return outcomeOf(outcome_code::Ok);
   }
   command_outcome run(const quarantine_command &Quarantine) {
-    for (const auto &Name : Quarantine.Names) {
-      Resources.put(Name, {quarantine{LogTimeMs + Quarantine.DurationMs}});
-    }
+    Resources.put(
+        quarantineName(Quarantine.Segments),
+        {quarantine{Quarantine.Segments, LogTimeMs + Quarantine.DurationMs}});
     return outcomeOf(outcome_code::Ok);
   }
   command_outcome run(const expire_command &Expire) {
--- a/src/store/traffic_view.cpp
+++ b/src/store/traffic_view.cpp
@@ -45,8 +45,14 @@
   }
   for (auto I = Known.lower_bound({resource_kind::Quarantine, {}});
        I != Known.end() && I->first.Kind == resource_kind::Quarantine; ++I) {
-    if (const auto Segment = quarantinedSegment(I->first.Name)) {
-      Quarantined.insert(*Segment);
+    std::vector<std::uint64_t> Hashes;
+    for (const auto &Name : I->second->as<quarantine>()->Segments) {
+      // A name that cannot be read is of no segment; the request hashes are
+      // compared with, so leaving it out would refuse more than was meant.
+      Hashes.push_back(segmentHash(Name).value_or(0));
+    }
+    if (!Hashes.empty()) {
+      Quarantines.push_back(std::move(Hashes));
     }
   }
 }
--- a/src/store/traffic_view.h
+++ b/src/store/traffic_view.h
@@ -14,7 +14,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace arbutus::store {
@@ -56,14 +55,19 @@
   [[nodiscard]] const std::vector<instance_entry> &
   instances(std::string_view Service) const noexcept;
 
-  /// True if requests with one of these prompt segments are refused, because a
-  /// segment crashes upstreams. Takes the hashes of the segments' ids.
+  /// True if a request with these prompt segments is refused, because it has
+  /// all segments of a quarantine. Takes the hashes of the segments' ids.
   template <class Hashes>
   [[nodiscard]] bool isQuarantined(const Hashes &Segments) const {
-    return !Quarantined.empty() &&
-           std::any_of(Segments.begin(), Segments.end(), [&](auto Segment) {
-             return Quarantined.contains(static_cast<std::uint64_t>(Segment));
-           });
+    const auto HasSegment = [&](std::uint64_t Wanted) {
+      return std::any_of(Segments.begin(), Segments.end(), [&](auto Segment) {
+        return static_cast<std::uint64_t>(Segment) == Wanted;
+      });
+    };
+    return std::any_of(
+        Quarantines.begin(), Quarantines.end(), [&](const auto &Quarantine) {
+          return std::all_of(Quarantine.begin(), Quarantine.end(), HasSegment);
+        });
   }
 
   /// Services that routes or instances name, ordered by name.
@@ -80,7 +84,8 @@
   std::unordered_map<std::string_view, prefix_map> Routes;
   std::unordered_map<std::string_view, const traffic_team *> TeamOfKey;
   std::map<std::string_view, std::vector<instance_entry>> Instances;
-  std::unordered_set<std::uint64_t> Quarantined;
+  /// Hashes of the segments of each quarantine; none is empty.
+  std::vector<std::vector<std::uint64_t>> Quarantines;
 };
 
 } // namespace arbutus::store
--- a/src/traffic/crash_detection.cpp
+++ b/src/traffic/crash_detection.cpp
@@ -17,7 +17,7 @@
   std::string Names;
   for (const auto Segment : Segments) {
     Names += Names.empty() ? "" : ",";
-    Names += store::quarantineName(number(Segment));
+    Names += store::segmentName(number(Segment));
   }
   return Names;
 }
@@ -30,6 +30,15 @@
 
 } // namespace
 
+void recordUpstreamAnswers(const traffic_request &Request, instant Now) {
+  const auto &Attempt = Request.Attempt;
+  const auto &Info = Attempt.ResponseInfo;
+  auto &Crashes = Request.Shard.Context.Crashes;
+  if (Crashes.hasLostUpstreams() && Info.Identified && !Info.Misdirected) {
+    Crashes.onResponse(runHash(Attempt), Attempt.SentAt, Now);
+  }
+}
+
 bool recordCrashEvidence(const traffic_request &Request,
                          net::call_outcome Outcome) {
   auto &Crashes = Request.Shard.Context.Crashes;
--- a/src/traffic/crash_detection.h
+++ b/src/traffic/crash_detection.h
@@ -6,6 +6,9 @@
 
 namespace arbutus::traffic {
 
+/// Records that the upstream of the latest attempt answers.
+void recordUpstreamAnswers(const traffic_request &Request, instant Now);
+
 /// Records what the end of an attempt says about the prompt: whether it may
 /// crash upstreams. Returns true if the request must not be sent to another
 /// upstream.
