--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -222,3 +222,32 @@
     CHECK_FALSE(parseEndpoint(Text).has_value());
   }
 }
+
+// Guards against a list of instances that is too old between any two reads, so
+// that routers would hold no lease most of the time.
+TEST_CASE(
+    "the age of the instance list allows for the time between two reads") {
+  struct row {
+    std::string Keys;
+    bool Valid;
+  };
+  const std::vector<row> Rows = {
+      {"interval_ms = 400\nmax_age_ms = 3000", true},
+      {"interval_ms = 1500\nmax_age_ms = 3000", true},
+      {"interval_ms = 1501\nmax_age_ms = 3000", false},
+      {"interval_ms = 2000", false},
+      {"max_age_ms = 999", false},
+  };
+  const temporary_folder Folder;
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Keys);
+    Folder.write("node.toml", Valid + ("[discovery]\n" + Row.Keys) + "\n",
+                 0600);
+    const auto Read = readSettings(Folder.Path / "node.toml");
+    CHECK(Read.has_value() == Row.Valid);
+    if (Read.has_error()) {
+      REQUIRE(Read.error().size() == 1);
+      CHECK(Read.error()[0].Key == "discovery.max_age_ms");
+    }
+  }
+}
