Repeat requests whose upstreams were lost in the same moment

Cause: a loss made its segments suspected at once, for the other requests of the same crash too. Change: a suspicion keeps requests from being repeated only once it is 500 ms old, which is the time between losses that makes them evidence.

--- a/src/router/crash_evidence.cpp
+++ b/src/router/crash_evidence.cpp
@@ -1,6 +1,7 @@
 #include "router/crash_evidence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutus::router {
 
@@ -10,6 +11,8 @@
 constexpr duration FindingLifetime = 700ms;
 /// Time within which the leader's list of suspects reflects an own crash.
 constexpr duration OwnSuspicionLifetime = 2s;
+/// Age from which on a suspicion keeps requests from being repeated.
+constexpr duration MinSuspicionAge = 500ms;
 /// Findings of each kind that are kept. A lost failure domain ends many
 /// requests at once, and some of them say enough.
 constexpr std::size_t MaxFindings = 64;
@@ -28,7 +31,7 @@
   LostUpstreams.try_emplace(Upstream, Now);
   HasLostUpstreams = true;
   for (const auto Segment : Segments) {
-    OwnSuspects[Segment] = Now;
+    OwnSuspects.try_emplace(Segment, Now);
   }
   HasSuspects = true;
 }
@@ -63,14 +66,18 @@
   HasSuspects = !OwnSuspects.empty() || !LeaderSuspects.empty();
 }
 
-bool crash_evidence::isSuspected(
-    const std::vector<segment_hash> &Segments) const {
+bool crash_evidence::isSuspected(const std::vector<segment_hash> &Segments,
+                                 instant Now) const {
   if (!HasSuspects.load(std::memory_order_relaxed)) {
     return false;
   }
   const std::lock_guard Lock(Mutex);
+  const auto IsOldIn = [Now](const auto &Suspects, segment_hash Segment) {
+    const auto Found = Suspects.find(Segment);
+    return Found != Suspects.end() && Found->second + MinSuspicionAge <= Now;
+  };
   return std::any_of(Segments.begin(), Segments.end(), [&](auto Segment) {
-    return OwnSuspects.contains(Segment) || LeaderSuspects.contains(Segment);
+    return IsOldIn(OwnSuspects, Segment) || IsOldIn(LeaderSuspects, Segment);
   });
 }
 
@@ -85,7 +92,13 @@
   }
   const std::lock_guard Lock(Mutex);
   forgetExpired(Now);
-  LeaderSuspects = {Suspicions.Segments.begin(), Suspicions.Segments.end()};
+  std::map<segment_hash, instant> Suspects;
+  for (const auto Segment : Suspicions.Segments) {
+    const auto Known = LeaderSuspects.find(Segment);
+    Suspects.emplace(Segment,
+                     Known == LeaderSuspects.end() ? Now : Known->second);
+  }
+  LeaderSuspects = std::move(Suspects);
   for (const auto Upstream : Suspicions.LostUpstreams) {
     LostUpstreams.try_emplace(Upstream, Now);
   }
--- a/src/router/crash_evidence.h
+++ b/src/router/crash_evidence.h
@@ -7,7 +7,6 @@
 #include <atomic>
 #include <map>
 #include <mutex>
-#include <set>
 #include <vector>
 
 namespace arbutus::router {
@@ -36,10 +35,12 @@
   /// so none of them crashes upstreams.
   void onAnswered(const std::vector<segment_hash> &Segments, instant Now);
 
-  /// True if an upstream was lately lost on one of the segments, at this or
-  /// another router, and no upstream has answered a request with it since.
-  [[nodiscard]] bool
-  isSuspected(const std::vector<segment_hash> &Segments) const;
+  /// True if an upstream was lost on one of the segments some time ago, at this
+  /// or another router, and no upstream has answered a request with it since.
+  /// Upstreams that are lost in the same moment have a common cause outside of
+  /// the requests, so that a loss of just now is no suspicion.
+  [[nodiscard]] bool isSuspected(const std::vector<segment_hash> &Segments,
+                                 instant Now) const;
 
   /// Sets what the leader suspects.
   void setLeaderSuspicions(const crash_suspicions &Suspicions, instant Now);
@@ -68,9 +69,10 @@
   std::vector<recorded_crash> Crashes;
   std::vector<cleared_segment> Cleared;
   std::vector<alive_upstream> Alive;
-  /// Segments of own crashes, until the leader's list has them.
+  /// Suspected segments, each with the time since which this router knows:
+  /// those of own crashes, until the leader's list has them, and the leader's.
   std::map<segment_hash, instant> OwnSuspects;
-  std::set<segment_hash> LeaderSuspects;
+  std::map<segment_hash, instant> LeaderSuspects;
   /// Upstreams that were lost here or elsewhere, with the time at which this
   /// router got to know.
   std::map<upstream_run_hash, instant> LostUpstreams;
--- a/src/traffic/crash_detection.cpp
+++ b/src/traffic/crash_detection.cpp
@@ -54,7 +54,7 @@
   if (!isUpstreamLost(Request, Outcome)) {
     return false;
   }
-  const bool Suspected = Crashes.isSuspected(Segments);
+  const bool Suspected = Crashes.isSuspected(Segments, Now);
   Crashes.onUpstreamLost(runHash(Request.Attempt), Segments, Now);
   logEvent(log_level::Info, "upstream_lost",
            {{"request", Request.Caller.Id},
--- a/tests/platform/test_crash_quarantine.cpp
+++ b/tests/platform/test_crash_quarantine.cpp
@@ -40,13 +40,15 @@
 } // namespace
 
 // Guards against one request that ends a second upstream after the first has
-// crashed under it, although a request with the same segment has ended one
-// before, and against sound requests that are not repeated.
+// crashed under it, although a request with the same segment has ended one some
+// time before, and against requests that are not repeated although their
+// upstream was lost together with others.
 TEST_CASE("a request that may crash upstreams is not sent to another") {
   flow_fixture Router({Stream, true}, {crashingOn("dead"), crashingOn("dead"),
                                        crashingOn("dead"), crashingOn("dead")});
   CHECK(Router.request(withPrompt("a:10,dead:20,x:1"))->Status == 502);
   CHECK(requestCount(Router) == 2);
+  Router.Shard.Io.run_for(std::chrono::milliseconds(600));
   CHECK(Router.request(withPrompt("a:10,dead:20,y:1"))->Status == 502);
   CHECK(requestCount(Router) == 3);
   CHECK(Router.request(withPrompt("a:10,z:1"))->Status == 200);
