Log why a request got no slot, and how a contended cell was divided

Cause looked for: FAIR on zawal beside engines that hang. A refused request left only result=overloaded, so that a full queue, a wait for one engine and an uneven division could not be told from each other. No decision changes.

--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -322,12 +322,20 @@
   return Ready;
 }
 
-std::vector<std::uint64_t> request_scheduler::expireWaiting(instant Now) {
-  std::vector<std::uint64_t> Expired;
+std::vector<expired_request> request_scheduler::expireWaiting(instant Now) {
+  std::vector<expired_request> Expired;
   while (!DispatchDeadlines.empty() &&
          DispatchDeadlines.begin()->first <= Now) {
-    Expired.push_back(DispatchDeadlines.begin()->second);
-    cancel(Expired.back());
+    const std::uint64_t Id = DispatchDeadlines.begin()->second;
+    const auto &Queue = Queues.at(WaitingById.at(Id).first);
+    const auto Request =
+        std::find_if(Queue.begin(), Queue.end(), [Id](const auto &Queued) {
+          return Queued.RequestId == Id;
+        });
+    const auto *Preferred = preferredUpstream(*Request, Now);
+    Expired.push_back(
+        {Id, Preferred == nullptr ? upstream_id{} : Preferred->Info.Id});
+    cancel(Id);
   }
   return Expired;
 }
@@ -407,9 +415,9 @@
          FailurePenaltyTokens * Load.FailureRate;
 }
 
-std::optional<upstream_id>
-request_scheduler::selectUpstream(const queued_request &Request,
-                                  instant Now) const {
+const upstream_load *
+request_scheduler::preferredUpstream(const queued_request &Request,
+                                     instant Now) const {
   const auto Caches = estimateCaches(Request);
   // Spare capacity must not stay unused while a request to a plain upstream
   // waits for a full upstream with a slightly lower failure rate.
@@ -439,7 +447,14 @@
       LowestPenalty = Penalty;
     }
   }
+  return Best;
+}
+
+std::optional<upstream_id>
+request_scheduler::selectUpstream(const queued_request &Request,
+                                  instant Now) const {
   // The best upstream is worth waiting for even while it is full.
+  const auto *Best = preferredUpstream(Request, Now);
   if (Best == nullptr || !hasCapacity(*Best, SchedulerCount, Now)) {
     return std::nullopt;
   }
--- a/src/balance/request_scheduler.h
+++ b/src/balance/request_scheduler.h
@@ -25,6 +25,13 @@
   upstream_id Upstream{};
 };
 
+/// A queued request that could not be sent in time.
+struct expired_request {
+  std::uint64_t RequestId = 0;
+  /// The upstream that it was queued for; 0 if none could take requests.
+  upstream_id Preferred{};
+};
+
 /// Result of an attempt as far as it says something about the upstream.
 enum class upstream_result {
   Succeeded,
@@ -90,7 +97,7 @@
   /// order with their upstreams. Charges their cost to the teams.
   [[nodiscard]] std::vector<dispatch_decision> dispatchReady(instant Now);
   /// Removes and returns waiting requests whose dispatch deadline has passed.
-  [[nodiscard]] std::vector<std::uint64_t> expireWaiting(instant Now);
+  [[nodiscard]] std::vector<expired_request> expireWaiting(instant Now);
 
   /// Share of the upstreams without capacity, 0 to 1, as the latest requests
   /// found them on their arrival.
@@ -120,6 +127,11 @@
     double MissPenaltyPerToken = 0;
   };
 
+  /// The upstream that is best for the request, also one that is worth waiting
+  /// for; null if none may receive requests.
+  [[nodiscard]] const upstream_load *
+  preferredUpstream(const queued_request &Request, instant Now) const;
+  /// The preferred upstream if it has capacity now.
   [[nodiscard]] std::optional<upstream_id>
   selectUpstream(const queued_request &Request, instant Now) const;
   /// Lower is better.
--- a/src/traffic/slot_allocator.cpp
+++ b/src/traffic/slot_allocator.cpp
@@ -279,7 +279,8 @@
     grantSlot(Entry, upstream_id{Reply.Upstream});
     return;
   case slot_decision::Refused:
-    refuse(Reply.RequestNumber, duration(Reply.RetryAfterUs));
+    refuse(Reply.RequestNumber, {Reply.Reason, duration(Reply.RetryAfterUs),
+                                 upstream_id{Reply.Preferred}});
     return;
   case slot_decision::NotOwner:
     // The two routers have different versions of the routing state.
@@ -296,11 +297,11 @@
   OnGranted(Upstream);
 }
 
-void slot_allocator::refuse(std::uint64_t Number, duration RetryAfter) {
+void slot_allocator::refuse(std::uint64_t Number, const slot_refusal &Refusal) {
   const auto Extracted = Entries.extract(Number);
   --UngrantedCount;
   NumberByRequestId.erase(Extracted.mapped().Request.RequestId);
-  Extracted.mapped().Callbacks.OnRefused(RetryAfter);
+  Extracted.mapped().Callbacks.OnRefused(Refusal);
 }
 
 slot_allocator::slot_entry_map::iterator
@@ -447,7 +448,7 @@
   for (const auto Number : PastDeadline) {
     sendSlotEvent(Entries.at(Number), Number, slot_event_kind::Cancelled,
                   upstream_result::Ignored);
-    refuse(Number, duration::zero());
+    refuse(Number, {});
   }
 }
 
@@ -456,8 +457,9 @@
     if (Scheduler.waitingCount() == 0) {
       continue;
     }
-    for (const auto Number : Scheduler.expireWaiting(Now)) {
-      refuse(Number, duration::zero());
+    for (const auto &Expired : Scheduler.expireWaiting(Now)) {
+      refuse(Expired.RequestId,
+             {refusal_reason::Expired, duration::zero(), Expired.Preferred});
     }
     for (const auto &Ready : Scheduler.dispatchReady(Now)) {
       grantSlot(Entries.at(Ready.RequestId), Ready.Upstream);
--- a/src/traffic/slot_allocator.h
+++ b/src/traffic/slot_allocator.h
@@ -34,13 +34,20 @@
   instant ResponseTarget = instant::max();
 };
 
+/// A slot request that was refused.
+struct slot_refusal {
+  refusal_reason Reason = refusal_reason::Unknown;
+  /// Time after which a new attempt may succeed; 0 if unknown.
+  duration RetryAfter{};
+  /// The busy upstream that an expired request was queued for; 0 if unknown.
+  upstream_id Preferred{};
+};
+
 /// Callbacks of a slot request. At most one is called, on the shard and never
 /// from inside `acquire`.
 struct slot_callbacks {
   std::function<void(upstream_id)> OnGranted;
-  /// `RetryAfter` is the time after which a new attempt may succeed; 0 if
-  /// unknown.
-  std::function<void(duration RetryAfter)> OnRefused;
+  std::function<void(const slot_refusal &)> OnRefused;
 };
 
 /// Obtains slots at the upstreams of all services for the requests of one
@@ -132,7 +139,7 @@
   void scheduleLocally(std::uint64_t Number, slot_entry &Entry);
   void onReply(node_id From, const slot_reply_message &Reply);
   void grantSlot(slot_entry &Entry, upstream_id Upstream);
-  void refuse(std::uint64_t Number, duration RetryAfter);
+  void refuse(std::uint64_t Number, const slot_refusal &Refusal);
   void sendSlotEvent(const slot_entry &Entry, std::uint64_t Number,
                      slot_event_kind Kind, balance::upstream_result Result);
   void sendSlotSnapshots();
--- a/src/traffic/slot_host.cpp
+++ b/src/traffic/slot_host.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace arbutus::traffic {
@@ -21,6 +22,21 @@
   return toMicros(std::max(duration::zero(), Wait - Limit));
 }
 
+/// Shows how a contended cell was divided between the teams.
+void logUsage(const cell_key &Key, cell_usage &Usage, instant Now) {
+  for (const auto &[Team, Used] : Usage.endInterval(Now)) {
+    logEvent(log_level::Info, "cell_usage",
+             {{"service", Key.Service},
+              {"cell", Key.Index},
+              {"team", Team},
+              {"asked_cost", std::llround(Used.AskedCost)},
+              {"sent_cost", std::llround(Used.SentCost)},
+              {"sent", Used.SentRequests},
+              {"refused", Used.Refused},
+              {"expired", Used.Expired}});
+  }
+}
+
 } // namespace
 
 void slot_host::setOwnedCells(const std::vector<balance::cell> &List,
@@ -42,9 +58,10 @@
   for (const auto &[Key, Hosted] : Cells) {
     logEvent(log_level::Info, "cell_given_up",
              {{"service", Key.Service}, {"cell", Key.Index}});
-    for (const auto &[Id, Remote] : Hosted->RemoteById) {
+    for (const auto &[Id, Request] : Hosted->RequestById) {
       if (Hosted->Scheduler.cancel(Id)) {
-        reply(*Hosted, Remote, slot_decision::NotOwner, 0);
+        reply(*Hosted, {Request.Remote.second, slot_decision::NotOwner},
+              Request.Remote.first);
       }
     }
   }
@@ -70,7 +87,7 @@
                           instant Now) {
   const auto Found = Cells.find({Request.Service, Request.Cell});
   if (Found == Cells.end()) {
-    Send(From, {Request.RequestNumber, slot_decision::NotOwner, 0, 0, 0});
+    Send(From, {Request.RequestNumber, slot_decision::NotOwner});
     return;
   }
   auto &Cell = *Found->second;
@@ -86,16 +103,35 @@
   if (Request.ResponseTargetUs != 0) {
     Queued.ResponseTarget = Now + duration(Request.ResponseTargetUs);
   }
+  auto &Hosted = Cell.RequestById.at(Queued.RequestId);
+  Hosted.Team = Request.Team;
+  Hosted.Cost = Request.Cost;
+  Cell.Usage.recordAsked(Request.Team, Request.Cost);
   if (!Cell.Scheduler.canServeInTime(Queued, Now)) {
-    eraseRequest(Cell, Queued.RequestId);
-    reply(Cell, {From, Request.RequestNumber}, slot_decision::Refused, 0,
-          retryAfter(Cell.Scheduler, Queued, Now));
+    refuseOnArrival(Cell, Queued, Now);
     return;
   }
   const auto Upstream = Cell.Scheduler.enqueue(std::move(Queued), Now);
-  reply(Cell, {From, Request.RequestNumber},
-        Upstream ? slot_decision::Granted : slot_decision::Queued,
-        Upstream ? number(*Upstream) : 0);
+  if (Upstream) {
+    Cell.Usage.recordSent(Request.Team, Request.Cost);
+  }
+  reply(Cell,
+        {Request.RequestNumber,
+         Upstream ? slot_decision::Granted : slot_decision::Queued,
+         Upstream ? number(*Upstream) : 0},
+        From);
+}
+
+void slot_host::refuseOnArrival(hosted_cell &Cell,
+                                const balance::queued_request &Request,
+                                instant Now) {
+  const auto Hosted = Cell.RequestById.at(Request.RequestId);
+  Cell.Usage.recordRefused(Hosted.Team);
+  eraseRequest(Cell, Request.RequestId);
+  slot_reply_message Reply{Hosted.Remote.second, slot_decision::Refused};
+  Reply.Reason = refusal_reason::QueueFull;
+  Reply.RetryAfterUs = retryAfter(Cell.Scheduler, Request, Now);
+  reply(Cell, Reply, Hosted.Remote.first);
 }
 
 void slot_host::onEvents(node_id From, const slot_events_message &Message,
@@ -117,6 +153,7 @@
 void slot_host::dispatchAll(instant Now) {
   for (auto &[Key, Cell] : Cells) {
     dispatchCell(*Cell, Now);
+    logUsage(Key, Cell->Usage, Now);
   }
 }
 
@@ -128,11 +165,10 @@
   return Sum;
 }
 
-void slot_host::reply(const hosted_cell &Cell, const remote_request &To,
-                      slot_decision Decision, std::uint32_t Upstream,
-                      std::int64_t RetryAfterUs) {
-  Send(To.first, {To.second, Decision, Upstream, RetryAfterUs,
-                  Cell.Scheduler.busyShare()});
+void slot_host::reply(const hosted_cell &Cell, slot_reply_message Reply,
+                      node_id To) {
+  Reply.BusyShare = Cell.Scheduler.busyShare();
+  Send(To, Reply);
 }
 
 void slot_host::applyEvent(hosted_cell &Cell, node_id From,
@@ -187,27 +223,35 @@
   const auto [Found, Inserted] = Cell.IdByRemote.try_emplace(Key, 0);
   if (Inserted) {
     Found->second = ++LastId;
-    Cell.RemoteById.emplace(LastId, Key);
+    Cell.RequestById.emplace(LastId, hosted_request{Key, {}, 0});
   }
   return Found->second;
 }
 
 void slot_host::eraseRequest(hosted_cell &Cell, std::uint64_t Id) {
-  const auto Remote = Cell.RemoteById.extract(Id);
-  if (!Remote.empty()) {
-    Cell.IdByRemote.erase(Remote.mapped());
+  const auto Request = Cell.RequestById.extract(Id);
+  if (!Request.empty()) {
+    Cell.IdByRemote.erase(Request.mapped().Remote);
   }
 }
 
 void slot_host::dispatchCell(hosted_cell &Cell, instant Now) {
-  for (const auto Id : Cell.Scheduler.expireWaiting(Now)) {
-    const auto Remote = Cell.RemoteById.at(Id);
-    eraseRequest(Cell, Id);
-    reply(Cell, Remote, slot_decision::Refused, 0);
+  for (const auto &Expired : Cell.Scheduler.expireWaiting(Now)) {
+    const auto Request = Cell.RequestById.at(Expired.RequestId);
+    Cell.Usage.recordExpired(Request.Team);
+    eraseRequest(Cell, Expired.RequestId);
+    slot_reply_message Reply{Request.Remote.second, slot_decision::Refused};
+    Reply.Reason = refusal_reason::Expired;
+    Reply.Preferred = number(Expired.Preferred);
+    reply(Cell, Reply, Request.Remote.first);
   }
   for (const auto &Ready : Cell.Scheduler.dispatchReady(Now)) {
-    const auto &Remote = Cell.RemoteById.at(Ready.RequestId);
-    reply(Cell, Remote, slot_decision::Granted, number(Ready.Upstream));
+    const auto &Request = Cell.RequestById.at(Ready.RequestId);
+    Cell.Usage.recordSent(Request.Team, Request.Cost);
+    reply(
+        Cell,
+        {Request.Remote.second, slot_decision::Granted, number(Ready.Upstream)},
+        Request.Remote.first);
   }
 }
 
--- a/src/traffic/slot_host.h
+++ b/src/traffic/slot_host.h
@@ -3,6 +3,7 @@
 
 #include "balance/cell_map.h"
 #include "balance/request_scheduler.h"
+#include "traffic/cell_usage.h"
 #include "traffic/slot_messages.h"
 
 #include <functional>
@@ -50,24 +51,32 @@
 
 private:
   using remote_request = std::pair<node_id, std::uint64_t>;
+  /// A request of a router that waits or is in flight in a cell.
+  struct hosted_request {
+    remote_request Remote;
+    /// Empty if the request was sent under the previous owner of the cell.
+    std::string Team;
+    double Cost = 0;
+  };
   struct hosted_cell {
     explicit hosted_cell(std::uint64_t Seed) : Scheduler(Seed) {}
     balance::request_scheduler Scheduler;
     /// Ids in the scheduler by router and its request number, and the inverse.
     std::map<remote_request, std::uint64_t> IdByRemote;
-    std::unordered_map<std::uint64_t, remote_request> RemoteById;
+    std::unordered_map<std::uint64_t, hosted_request> RequestById;
+    cell_usage Usage;
   };
 
   /// Replies to a slot request of this cell.
-  void reply(const hosted_cell &Cell, const remote_request &To,
-             slot_decision Decision, std::uint32_t Upstream,
-             std::int64_t RetryAfterUs = 0);
+  void reply(const hosted_cell &Cell, slot_reply_message Reply, node_id To);
   void applyEvent(hosted_cell &Cell, node_id From, const slot_event &Event,
                   instant Now);
   void releaseUnlisted(hosted_cell &Cell, node_id From,
                        const std::vector<slot_event> &InUseEvents, instant Now);
   std::uint64_t getOrAssignId(hosted_cell &Cell, const remote_request &Key);
   void eraseRequest(hosted_cell &Cell, std::uint64_t Id);
+  void refuseOnArrival(hosted_cell &Cell,
+                       const balance::queued_request &Request, instant Now);
   void dispatchCell(hosted_cell &Cell, instant Now);
   team_id getOrAssignTeamId(const std::string &Team);
 
--- a/src/traffic/slot_messages.h
+++ b/src/traffic/slot_messages.h
@@ -39,6 +39,13 @@
   NotOwner = 3 ///< the receiver does not own the cell
 };
 
+/// Why a request gets no slot.
+enum class refusal_reason : int {
+  Unknown = 0,   ///< no reply of the owner, or a reply of an older version
+  QueueFull = 1, ///< the queue of the team is too long
+  Expired = 2    ///< queued, and no slot became available in time
+};
+
 /// `slot_reply`: the cell owner's reply to a slot request.
 struct slot_reply_message {
   std::uint64_t RequestNumber = 0;
@@ -49,8 +56,14 @@
   std::int64_t RetryAfterUs = 0;
   /// Share of the cell's upstreams without capacity, 0 to 1.
   double BusyShare = 0;
-
-  MSGPACK_DEFINE(RequestNumber, Decision, Upstream, RetryAfterUs, BusyShare)
+  /// Only for `Refused`.
+  refusal_reason Reason = refusal_reason::Unknown;
+  /// Only for `Expired`: the busy upstream that the request was queued for; 0
+  /// if none could take requests.
+  std::uint32_t Preferred = 0;
+
+  MSGPACK_DEFINE(RequestNumber, Decision, Upstream, RetryAfterUs, BusyShare,
+                 Reason, Preferred)
 };
 
 enum class slot_event_kind : int {
@@ -96,6 +109,15 @@
   };
 };
 
+template <> struct name_table<traffic::refusal_reason> {
+  using reason = traffic::refusal_reason;
+  static constexpr name_row<reason> Rows[] = {
+      {reason::Unknown, "unknown"},
+      {reason::QueueFull, "queue_full"},
+      {reason::Expired, "expired"},
+  };
+};
+
 template <> struct name_table<traffic::slot_event_kind> {
   using kind = traffic::slot_event_kind;
   static constexpr name_row<kind> Rows[] = {
@@ -109,6 +131,7 @@
 } // namespace arbutus
 
 MSGPACK_ADD_ENUM(arbutus::traffic::slot_decision)
+MSGPACK_ADD_ENUM(arbutus::traffic::refusal_reason)
 MSGPACK_ADD_ENUM(arbutus::traffic::slot_event_kind)
 MSGPACK_ADD_ENUM(arbutus::balance::upstream_result)
 
--- a/src/traffic/traffic_end.cpp
+++ b/src/traffic/traffic_end.cpp
@@ -49,7 +49,9 @@
       {"status", Status},
       {"upstream", Request.Attempt.Instance},
       {"attempts", Request.Attempts},
-      {"duration_us", toMicros(Time)}};
+      {"duration_us", toMicros(Time)},
+      {"refusal", Request.RefusalReason},
+      {"queued_for", Request.QueuedFor}};
   if (Status != 0 && Status < MinNonSuccessStatus) {
     logRoutine("request_finished", Fields);
   } else {
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -275,6 +275,16 @@
   callUpstream(Request, Upstream);
 }
 
+/// Remembers why the request got no slot, for its last log line.
+void recordRefusal(traffic_request &Request, const slot_refusal &Refusal) {
+  const auto View = currentView(Request.Shard);
+  const auto *Preferred =
+      findInstance(View->traffic(), Request.Service, Refusal.Preferred);
+  Request.RetryAfter = Refusal.RetryAfter;
+  Request.RefusalReason = nameOf(Refusal.Reason);
+  Request.QueuedFor = Preferred == nullptr ? "" : Preferred->Name;
+}
+
 void enqueueRequest(const traffic_request_ptr &Request) {
   auto &Shard = Request->Shard;
   Request->Phase = request_phase::Waiting;
@@ -301,8 +311,8 @@
   Callbacks.OnGranted = [Request](upstream_id Upstream) {
     onSlotGranted(Request, Upstream);
   };
-  Callbacks.OnRefused = [Request](duration RetryAfter) {
-    Request->RetryAfter = RetryAfter;
+  Callbacks.OnRefused = [Request](const slot_refusal &Refusal) {
+    recordRefusal(*Request, Refusal);
     failRequest(Request, request_error::Overloaded, execution_outcome::NotRun);
   };
   Shard.Slots.acquire(std::move(SlotRequest), std::move(Callbacks));
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -87,6 +87,10 @@
   bool CallerDisconnected = false;
   /// Time after which a refused caller may retry; 0 if unknown.
   duration RetryAfter{};
+  /// Why the request got no slot; empty if it was not refused one.
+  std::string_view RefusalReason;
+  /// Name of the busy upstream that it was queued for until it was refused.
+  std::string QueuedFor;
   std::vector<upstream_id> Excluded;
   upstream_attempt Attempt;
   /// Events of the stream that were forwarded, over all attempts.
--- a/tests/balance/test_prompt_placement.cpp
+++ b/tests/balance/test_prompt_placement.cpp
@@ -86,8 +86,8 @@
     for (const auto &Ready : Scheduler->dispatchReady(Now)) {
       begin(Ready, Now);
     }
-    for (const auto Id : Scheduler->expireWaiting(Now)) {
-      Waiting.erase(Id);
+    for (const auto &Expired : Scheduler->expireWaiting(Now)) {
+      Waiting.erase(Expired.RequestId);
       ++Refused;
     }
   }
--- a/tests/balance/test_request_scheduler.cpp
+++ b/tests/balance/test_request_scheduler.cpp
@@ -266,7 +266,10 @@
   CHECK(Scheduler.cancel(3));
   CHECK_FALSE(Scheduler.cancel(3));
   CHECK(Scheduler.expireWaiting(Start + 999ms).empty());
-  CHECK(Scheduler.expireWaiting(Start + 1s) == std::vector<std::uint64_t>{4});
+  const auto Expired = Scheduler.expireWaiting(Start + 1s);
+  REQUIRE(Expired.size() == 1);
+  CHECK(Expired[0].RequestId == 4);
+  CHECK(Expired[0].Preferred == upstream_id{1});
   CHECK(Scheduler.expireWaiting(Start + 2s).empty());
   CHECK(Scheduler.waitingCount() == 0);
 }
--- a/tests/balance/test_response_target.cpp
+++ b/tests/balance/test_response_target.cpp
@@ -83,9 +83,10 @@
   instant NextArrival = Start;
   std::uint64_t LastId = 0;
   const auto Dispatch = [&](instant Now) {
-    for (const auto Id : Scheduler.expireWaiting(Now)) {
+    for (const auto &Expired : Scheduler.expireWaiting(Now)) {
       ++Result.Refused;
-      Result.WorstRefusal = std::max(Result.WorstRefusal, Now - Arrived[Id]);
+      Result.WorstRefusal =
+          std::max(Result.WorstRefusal, Now - Arrived[Expired.RequestId]);
     }
     for (const auto &Ready : Scheduler.dispatchReady(Now)) {
       Service.submit(Ready.RequestId, number(Ready.Upstream), Now);
--- a/tests/traffic/test_slot_allocator.cpp
+++ b/tests/traffic/test_slot_allocator.cpp
@@ -90,9 +90,9 @@
     Allocator.acquire(std::move(Request), {[this](upstream_id Upstream) {
                                              Result = number(Upstream);
                                            },
-                                           [this](duration Delay) {
+                                           [this](const slot_refusal &Refusal) {
                                              Result = 0;
-                                             RetryAfter = Delay;
+                                             RetryAfter = Refusal.RetryAfter;
                                            }});
   }
 
