Do not wait for a model engine that makes no progress

Callers saw: FAIR on zawal. A team asked for 10.3 M tokens in 6 s and got 113,057, another got 358,335, while engines hung half of their requests. Cause: a request is queued for the engine that has its prefix, also while that is busy. One hung prompt keeps an engine busy until the request's deadline (3 to 12 s), and all requests whose prefix lives there waited for it until they were refused: 350 of 353 expired requests of six seconds were queued for four engines that were sent 1 to 4 requests, while five others were sent 83 to 103 each. The class: the time of a wait was estimated from the amount of work, not from progress. Ruled out: charges for hung attempts (the sent cost itself was uneven). Change: an engine at a prompt for three times the usual time to a first byte (at least 250 ms) is stalled. Requests go to the best engine that is not. Conclusion: the reproduced cause is mended. Even shares of teams whose prefixes share an engine are a fault of their own.

--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -39,6 +39,10 @@
 /// failure, up to `MaxBackoffDoublings` times.
 constexpr duration InitialConnectBackoff = 500ms;
 constexpr std::uint32_t MaxBackoffDoublings = 3;
+/// A model engine is stalled once it is at a prompt for this many times the
+/// usual time to a first byte, and for no less than `MinStallTime`.
+constexpr int StallFactor = 3;
+constexpr duration MinStallTime = 250ms;
 /// Fraction of a cold upstream's request rate that is used. Two routers may
 /// send to it for a short time while they disagree on the owner of its cell.
 constexpr double ColdRateFraction = 0.6;
@@ -219,11 +223,27 @@
   return true;
 }
 
-void request_scheduler::onFirstByte(std::uint64_t RequestId) {
+void request_scheduler::onFirstByte(std::uint64_t RequestId, instant Now) {
   const auto Found = InFlightById.find(RequestId);
-  if (Found != InFlightById.end()) {
-    clearPendingPrefill(Found->second);
+  if (Found == InFlightById.end()) {
+    return;
+  }
+  clearPendingPrefill(Found->second);
+  const auto Upstream = Upstreams.find(Found->second.Upstream);
+  if (Upstream == Upstreams.end() || !Upstream->second.Info.IsModelEngine ||
+      Found->second.SentAt == instant{}) {
+    return;
   }
+  Upstream->second.PrefillProgressAt = Now;
+  FirstByteTime.add(Now - Found->second.SentAt);
+}
+
+bool request_scheduler::isStalled(const upstream_load &Load,
+                                  instant Now) const noexcept {
+  const auto Expected = FirstByteTime.expected();
+  return Expected && Load.PrefillTokens != 0 &&
+         Now - Load.PrefillProgressAt >
+             std::max(MinStallTime, StallFactor * *Expected);
 }
 
 void request_scheduler::complete(std::uint64_t RequestId,
@@ -415,9 +435,10 @@
          FailurePenaltyTokens * Load.FailureRate;
 }
 
+template <class Predicate>
 const upstream_load *
-request_scheduler::preferredUpstream(const queued_request &Request,
-                                     instant Now) const {
+request_scheduler::findLowestPenalty(const queued_request &Request, instant Now,
+                                     Predicate Accepts) const {
   const auto Caches = estimateCaches(Request);
   // Spare capacity must not stay unused while a request to a plain upstream
   // waits for a full upstream with a slightly lower failure rate.
@@ -430,7 +451,7 @@
   const upstream_load *Best = nullptr;
   double LowestPenalty = 0;
   for (const auto &[Id, Load] : Upstreams) {
-    if (isExcluded(Request, Id) || !isEligible(Load, Now)) {
+    if (isExcluded(Request, Id) || !isEligible(Load, Now) || !Accepts(Load)) {
       continue;
     }
     const bool Spare = HasSpareCapacity(Load);
@@ -450,11 +471,25 @@
   return Best;
 }
 
+const upstream_load *
+request_scheduler::preferredUpstream(const queued_request &Request,
+                                     instant Now) const {
+  return findLowestPenalty(Request, Now,
+                           [](const upstream_load &) { return true; });
+}
+
 std::optional<upstream_id>
 request_scheduler::selectUpstream(const queued_request &Request,
                                   instant Now) const {
-  // The best upstream is worth waiting for even while it is full.
   const auto *Best = preferredUpstream(Request, Now);
+  const bool IsBusy =
+      Best != nullptr && !hasCapacity(*Best, SchedulerCount, Now);
+  if (IsBusy && isStalled(*Best, Now)) {
+    Best = findLowestPenalty(Request, Now, [&](const upstream_load &Load) {
+      return !isStalled(Load, Now);
+    });
+  }
+  // A busy upstream is worth waiting for while it makes progress.
   if (Best == nullptr || !hasCapacity(*Best, SchedulerCount, Now)) {
     return std::nullopt;
   }
@@ -468,6 +503,9 @@
   Load.Cache.recordUse(Request.Prompt);
   ++Load.InFlight;
   ++Load.SentSinceReport;
+  if (Load.PrefillTokens == 0) {
+    Load.PrefillProgressAt = Now;
+  }
   Load.PrefillTokens += Uncached;
   if (Load.Info.ColdRequestsPerSecond > 0) {
     Load.NextColdDispatch = Now + coldInterval(Load);
--- a/src/balance/request_scheduler.h
+++ b/src/balance/request_scheduler.h
@@ -82,7 +82,7 @@
   bool cancel(std::uint64_t RequestId);
   /// Records the first byte of the response: the upstream has processed the
   /// prompt.
-  void onFirstByte(std::uint64_t RequestId);
+  void onFirstByte(std::uint64_t RequestId, instant Now);
   /// Records the result of a request that was sent. Unknown ids are ignored.
   void complete(std::uint64_t RequestId, upstream_result Result, instant Now);
   /// Stores a load report of an upstream. Reports older than the stored one are
@@ -131,7 +131,18 @@
   /// for; null if none may receive requests.
   [[nodiscard]] const upstream_load *
   preferredUpstream(const queued_request &Request, instant Now) const;
-  /// The preferred upstream if it has capacity now.
+  /// True if a model engine is at a prompt for much longer than prompts usually
+  /// take. Waiting for it is of no use.
+  [[nodiscard]] bool isStalled(const upstream_load &Load,
+                               instant Now) const noexcept;
+  /// The upstream with the lowest penalty among those for which `Accepts` is
+  /// true; null if there is none.
+  template <class Predicate>
+  [[nodiscard]] const upstream_load *
+  findLowestPenalty(const queued_request &Request, instant Now,
+                    Predicate Accepts) const;
+  /// The upstream to send the request to now, if it has capacity: the preferred
+  /// one or, while that is stalled, the best of the others.
   [[nodiscard]] std::optional<upstream_id>
   selectUpstream(const queued_request &Request, instant Now) const;
   /// Lower is better.
@@ -175,6 +186,8 @@
   /// Response time of plain upstreams. That of a model engine depends on the
   /// prompt, so it is not estimated.
   response_time_estimator PlainResponseTime;
+  /// Time from sending a prompt to the first byte of its response.
+  response_time_estimator FirstByteTime;
   pool::fair_scheduler FairQueue;
 };
 
--- a/src/balance/upstream_load.h
+++ b/src/balance/upstream_load.h
@@ -49,6 +49,9 @@
   /// Prompt tokens of the requests in flight that have not produced a first
   /// byte yet, without cached tokens.
   std::uint64_t PrefillTokens = 0;
+  /// Time of the last first byte, or of the prompt that was sent when none was
+  /// in prefill.
+  instant PrefillProgressAt{};
   std::optional<load_report> LastReport;
   /// Requests that this scheduler has sent and completed since the last load
   /// report.
--- a/src/traffic/slot_allocator.cpp
+++ b/src/traffic/slot_allocator.cpp
@@ -320,7 +320,8 @@
     sendSlotEvent(Found->second, Found->first, slot_event_kind::FirstByte,
                   upstream_result::Ignored);
   } else {
-    localScheduler(Found->second.Request.Service).onFirstByte(Found->first);
+    localScheduler(Found->second.Request.Service)
+        .onFirstByte(Found->first, monotonic_clock::now());
   }
 }
 
--- a/src/traffic/slot_host.cpp
+++ b/src/traffic/slot_host.cpp
@@ -187,7 +187,7 @@
   }
   const std::uint64_t Id = Existing->second;
   if (Event.Kind == slot_event_kind::FirstByte) {
-    Cell.Scheduler.onFirstByte(Id);
+    Cell.Scheduler.onFirstByte(Id, Now);
     return;
   }
   if (!Cell.Scheduler.cancel(Id)) {
--- a/tests/balance/test_prompt_placement.cpp
+++ b/tests/balance/test_prompt_placement.cpp
@@ -80,7 +80,7 @@
     while (!Prefills.empty() && Prefills.begin()->first <= Now) {
       const auto Id = Prefills.begin()->second;
       Prefills.erase(Prefills.begin());
-      Scheduler->onFirstByte(Id);
+      Scheduler->onFirstByte(Id, Now);
       Scheduler->complete(Id, upstream_result::Succeeded, Now);
     }
     for (const auto &Ready : Scheduler->dispatchReady(Now)) {
@@ -184,7 +184,7 @@
     const auto Home =
         Scheduler.enqueue(sessionRequest(1, 7, 500, Start), Start);
     REQUIRE(Home);
-    Scheduler.onFirstByte(1);
+    Scheduler.onFirstByte(1, Start);
     std::uint64_t Id = 1;
     // Occupies one engine with a prompt of this length.
     const auto Occupy = [&](upstream_id Engine, std::uint64_t Tokens) {
@@ -218,7 +218,7 @@
       Short.Prompt = {{hash64("short", Id), 10}};
       Short.DispatchDeadline = Start + 1s;
       if (Scheduler.enqueue(std::move(Short), Start)) {
-        Scheduler.onFirstByte(Id);
+        Scheduler.onFirstByte(Id, Start);
         Scheduler.complete(Id, upstream_result::Succeeded, Start);
       }
     }
--- a/tests/balance/test_request_scheduler.cpp
+++ b/tests/balance/test_request_scheduler.cpp
@@ -63,7 +63,7 @@
   REQUIRE(Scheduler.enqueue(promptRequest(1, 1, {{11, 9'000}}), Start));
   CHECK_FALSE(Scheduler.enqueue(promptRequest(2, 1, {{12, 500}}), Start));
   CHECK(Scheduler.dispatchReady(Start).empty());
-  Scheduler.onFirstByte(1);
+  Scheduler.onFirstByte(1, Start);
   const auto Ready = Scheduler.dispatchReady(Start);
   REQUIRE(Ready.size() == 1);
   CHECK(Ready[0].RequestId == 2);
@@ -91,7 +91,7 @@
     const auto First =
         Scheduler.enqueue(promptRequest(1, 1, {{50, 6'000}, {51, 900}}), Start);
     REQUIRE(First);
-    Scheduler.onFirstByte(1);
+    Scheduler.onFirstByte(1, Start);
     Scheduler.complete(1, upstream_result::Succeeded, Start);
     if (Row.Busy > 0) {
       auto Busy = promptRequest(2, 1, {{60, Row.Busy}});
@@ -107,7 +107,7 @@
     // The request waits for the engine that has cached the prompt.
     CHECK(Second.has_value() == (Row.Busy == 0 || !Row.SameEngine));
     if (!Second) {
-      Scheduler.onFirstByte(2);
+      Scheduler.onFirstByte(2, Start);
       const auto Ready = Scheduler.dispatchReady(Start);
       REQUIRE(Ready.size() == 1);
       Second = Ready[0].Upstream;
@@ -130,7 +130,7 @@
   std::vector<std::uint64_t> Order;
   std::uint64_t Running = 1;
   for (int I = 0; I < 4; ++I) {
-    Scheduler.onFirstByte(Running);
+    Scheduler.onFirstByte(Running, Start);
     const auto Ready = Scheduler.dispatchReady(Start);
     REQUIRE(Ready.size() == 1);
     Running = Ready[0].RequestId;
@@ -160,7 +160,7 @@
       }
     }
     Now += 100ms;
-    Scheduler.onFirstByte(Running);
+    Scheduler.onFirstByte(Running, Now);
     Scheduler.complete(Running, upstream_result::Succeeded, Now);
     CHECK(Scheduler.expireWaiting(Now).size() <=
           10); // queued before the rate was known
@@ -314,7 +314,7 @@
   }
   for (int Step = 0; Step < 20; ++Step) {
     Now += 100ms;
-    Scheduler.onFirstByte(Running);
+    Scheduler.onFirstByte(Running, Now);
     Scheduler.complete(Running, upstream_result::Succeeded, Now);
     REQUIRE_FALSE(Scheduler.enqueue(Big(), Now));
     const auto Ready = Scheduler.dispatchReady(Now);
