Let a team that is far behind use any free model engine

Callers saw: the same rule (FAIR), in a test: of four teams that ask for more than four engines bear, the two whose prefixes share an engine got 333,000 tokens each in 6 s, the others 675,000; without any fault, three teams on one engine 225,000 each beside 675,000. Cause: placement by prompt cache stood above the fair order. A free engine is given to the first team in fair order whose request prefers it, so that a team whose prefix shares an engine gets a part of that engine only. Ruled out: admission (the teams had requests queued all the time). Change: a team that is a second of an even share behind another one takes any engine with capacity (delay scheduling, with the bound in service instead of time). Conclusion: locality yields to fairness at a bound that is counted in service.

--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -39,6 +39,9 @@
 /// failure, up to `MaxBackoffDoublings` times.
 constexpr duration InitialConnectBackoff = 500ms;
 constexpr std::uint32_t MaxBackoffDoublings = 3;
+/// A team waits for its preferred upstreams until it is this time of an even
+/// share behind another team. Fairness over a few seconds needs a bound.
+constexpr duration MaxLocalityLag = 1s;
 /// A model engine is stalled once it is at a prompt for this many times the
 /// usual time to a first byte, and for no less than `MinStallTime`.
 constexpr int StallFactor = 3;
@@ -309,23 +312,33 @@
 }
 
 std::optional<dispatch_decision>
-request_scheduler::findDispatchable(const std::deque<queued_request> &Queue,
-                                    instant Now) const {
+request_scheduler::findDispatchable(team_id Team, instant Now) const {
+  const auto Found = Queues.find(Team);
+  if (Found == Queues.end()) {
+    return std::nullopt;
+  }
+  const auto &Queue = Found->second;
   const std::size_t ScanCount = std::min(Queue.size(), MaxQueueScan);
   for (std::size_t I = 0; I < ScanCount; ++I) {
     if (const auto Upstream = selectUpstream(Queue[I], Now)) {
       return dispatch_decision{Queue[I].RequestId, *Upstream};
     }
   }
+  if (!isFarBehind(Team, Now)) {
+    return std::nullopt;
+  }
+  for (std::size_t I = 0; I < ScanCount; ++I) {
+    if (const auto Upstream = selectFreeUpstream(Queue[I], Now)) {
+      return dispatch_decision{Queue[I].RequestId, *Upstream};
+    }
+  }
   return std::nullopt;
 }
 
 std::optional<dispatch_decision> request_scheduler::dispatchNext(instant Now) {
   std::optional<dispatch_decision> Ready;
   const auto Team = FairQueue.selectTeam([&](team_id Candidate) {
-    const auto Queue = Queues.find(Candidate);
-    Ready = Queue == Queues.end() ? std::nullopt
-                                  : findDispatchable(Queue->second, Now);
+    Ready = findDispatchable(Candidate, Now);
     return Ready.has_value();
   });
   if (!Team) {
@@ -496,6 +509,24 @@
   return Best->Info.Id;
 }
 
+std::optional<upstream_id>
+request_scheduler::selectFreeUpstream(const queued_request &Request,
+                                      instant Now) const {
+  const auto *Best =
+      findLowestPenalty(Request, Now, [&](const upstream_load &Load) {
+        return Load.FailureRate < TolerableFailureRate &&
+               hasCapacity(Load, SchedulerCount, Now);
+      });
+  return Best == nullptr ? std::nullopt : std::optional(Best->Info.Id);
+}
+
+bool request_scheduler::isFarBehind(team_id Team, instant Now) const {
+  const double EvenRate =
+      TotalServedRate.value(Now) /
+      static_cast<double>(std::max<std::size_t>(1, Queues.size()));
+  return FairQueue.lag(Team) > EvenRate * toSeconds(MaxLocalityLag);
+}
+
 void request_scheduler::send(const queued_request &Request,
                              upstream_id Upstream, instant Now) {
   auto &Load = Upstreams.at(Upstream);
--- a/src/balance/request_scheduler.h
+++ b/src/balance/request_scheduler.h
@@ -145,6 +145,12 @@
   /// one or, while that is stalled, the best of the others.
   [[nodiscard]] std::optional<upstream_id>
   selectUpstream(const queued_request &Request, instant Now) const;
+  /// The best upstream that has capacity now.
+  [[nodiscard]] std::optional<upstream_id>
+  selectFreeUpstream(const queued_request &Request, instant Now) const;
+  /// True if the team has received so much less than another one that its
+  /// requests no longer wait for their preferred upstreams.
+  [[nodiscard]] bool isFarBehind(team_id Team, instant Now) const;
   /// Lower is better.
   [[nodiscard]] double selectionPenalty(const queued_request &Request,
                                         const upstream_load &Load,
@@ -167,7 +173,7 @@
   [[nodiscard]] duration coldInterval(const upstream_load &Load) const;
   [[nodiscard]] std::optional<dispatch_decision> dispatchNext(instant Now);
   [[nodiscard]] std::optional<dispatch_decision>
-  findDispatchable(const std::deque<queued_request> &Queue, instant Now) const;
+  findDispatchable(team_id Team, instant Now) const;
 
   std::uint64_t Seed;
   std::uint32_t SchedulerCount = 1;
--- a/src/pool/fair_scheduler.cpp
+++ b/src/pool/fair_scheduler.cpp
@@ -65,6 +65,10 @@
   return Found == Teams.end() ? MinVirtualTime : Found->second.VirtualTime;
 }
 
+double fair_scheduler::lag(team_id Team) const {
+  return Ranking.empty() ? 0 : Ranking.rbegin()->first - virtualTime(Team);
+}
+
 double fair_scheduler::weight(team_id Team) const {
   const auto Found = Teams.find(Team);
   return Found == Teams.end() ? 1 : Found->second.Weight;
--- a/src/pool/fair_scheduler.h
+++ b/src/pool/fair_scheduler.h
@@ -43,6 +43,10 @@
   selectTeam(const std::function<bool(team_id)> &Eligible) const;
 
   [[nodiscard]] double virtualTime(team_id Team) const;
+
+  /// Difference between the maximum virtual time of the backlogged teams and
+  /// that of the given one; 0 if no team is backlogged.
+  [[nodiscard]] double lag(team_id Team) const;
   [[nodiscard]] double weight(team_id Team) const;
   [[nodiscard]] bool anyBacklogged() const noexcept { return !Ranking.empty(); }
 
