Keep to the rate limits that upstreams name in their answers

Callers saw: LIMIT, 51 requests in 4 s at an upstream that had named 4.8 a second (allowed 34). Cause: nothing read the limit, and no part of the fleet that decides on sends could have kept it: a router sees a part of the answers. The class: a bound on the sum of all routers needs one place that counts. Ruled out: loss of the limit at the rolling restart (findings start before it). The owner paces sends by it. Without an owner a router uses its part. An answer without the limit ends it if its request was sent after the limit was named. Conclusion: the limit holds over a change of the owner and ends with the answers.

--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -292,6 +292,31 @@
   Found->second.CompletedSinceReport = 0;
 }
 
+bool request_scheduler::recordRateLimit(std::uint64_t RequestId,
+                                        std::optional<double> PerSecond,
+                                        instant Now) {
+  const auto Request = InFlightById.find(RequestId);
+  return Request != InFlightById.end() &&
+         recordRateLimit(Request->second.Upstream, PerSecond,
+                         Request->second.SentAt, Now);
+}
+
+bool request_scheduler::recordRateLimit(upstream_id Upstream,
+                                        std::optional<double> PerSecond,
+                                        instant SentAt, instant Now) {
+  const auto Found = Upstreams.find(Upstream);
+  return Found != Upstreams.end() &&
+         Found->second.RateLimit.recordAnswer(PerSecond, SentAt, Now);
+}
+
+bool request_scheduler::mergeRateLimit(upstream_id Upstream,
+                                       std::optional<double> PerSecond,
+                                       instant AnsweredAt, instant Now) {
+  const auto Found = Upstreams.find(Upstream);
+  return Found != Upstreams.end() &&
+         Found->second.RateLimit.record(PerSecond, AnsweredAt, Now);
+}
+
 std::vector<dispatch_decision> request_scheduler::dispatchReady(instant Now) {
   std::vector<dispatch_decision> Ready;
   const auto AnyCapacity = [&] {
@@ -541,6 +566,7 @@
   if (Load.Info.ColdRequestsPerSecond > 0) {
     Load.NextColdDispatch = Now + coldInterval(Load);
   }
+  Load.RateLimit.recordSend(SchedulerCount, Now);
   InFlightById[Request.RequestId] = {Upstream, Uncached, Now};
   FairQueue.charge(Request.Team, Request.Cost);
   recordServedCost(Request.Team, Request.Cost, Now);
--- a/src/balance/request_scheduler.h
+++ b/src/balance/request_scheduler.h
@@ -89,6 +89,17 @@
   /// ignored.
   void onLoadReport(upstream_id Upstream, const load_report &Load);
 
+  /// Records the rate limit in an answer of an upstream; nothing if the answer
+  /// names none. The request is in flight here, or was sent at `SentAt`.
+  /// Returns true if the limit changes.
+  bool recordRateLimit(std::uint64_t RequestId, std::optional<double> PerSecond,
+                       instant Now);
+  bool recordRateLimit(upstream_id Upstream, std::optional<double> PerSecond,
+                       instant SentAt, instant Now);
+  /// Takes over a rate limit that another scheduler has learned from an answer
+  /// at `AnsweredAt`, if it is newer. Returns true if the limit changes.
+  bool mergeRateLimit(upstream_id Upstream, std::optional<double> PerSecond,
+                      instant AnsweredAt, instant Now);
   /// Counts a request that was sent under the previous owner of the cell as in
   /// flight.
   void restoreInFlight(std::uint64_t RequestId, upstream_id Upstream);
--- a/src/balance/upstream_load.cpp
+++ b/src/balance/upstream_load.cpp
@@ -46,6 +46,7 @@
 
 bool isEligible(const upstream_load &Load, instant Now) noexcept {
   return Load.Info.Usable && Now >= Load.BackoffUntil &&
+         Load.RateLimit.allowsRequest(Now) &&
          (Load.Info.ColdRequestsPerSecond <= 0 || Now >= Load.NextColdDispatch);
 }
 
--- a/src/balance/upstream_load.h
+++ b/src/balance/upstream_load.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_BALANCE_UPSTREAM_LOAD_H
 
 #include "balance/prompt_cache.h"
+#include "balance/rate_limit.h"
 #include "base/clock.h"
 #include "base/ids.h"
 
@@ -64,6 +65,8 @@
   instant BackoffUntil{};
   /// Earliest time of the next request to a cold upstream.
   instant NextColdDispatch{};
+  /// What the upstream has named in its answers.
+  rate_limit RateLimit;
   prompt_cache Cache;
 };
 
@@ -79,7 +82,8 @@
                                std::uint32_t SchedulerCount, instant Now);
 
 /// True if the upstream may receive requests now, regardless of its load: it is
-/// usable, not in back-off, and its cold rate limit is not reached.
+/// usable, not in back-off, and neither its cold rate limit nor the one that it
+/// has named is reached.
 [[nodiscard]] bool isEligible(const upstream_load &Load, instant Now) noexcept;
 
 } // namespace arbutus::balance
--- a/src/traffic/platform_codec.h
+++ b/src/traffic/platform_codec.h
@@ -43,6 +43,9 @@
   /// The upstream refuses the request and wants none from this router for this
   /// long.
   std::optional<duration> RetryAfter;
+  /// Requests per second that the upstream takes from the whole fleet, for as
+  /// long as its answers say so.
+  std::optional<double> RateLimit;
   /// Load of the upstream, if reported.
   std::optional<balance::load_report> Load;
 };
--- a/src/traffic/slot_allocator.cpp
+++ b/src/traffic/slot_allocator.cpp
@@ -332,7 +332,7 @@
   }
   auto Extracted = Entries.extract(Found);
   NumberByRequestId.erase(RequestId);
-  const auto &Entry = Extracted.mapped();
+  auto &Entry = Extracted.mapped();
   if (Entry.State != slot_state::Granted) {
     --UngrantedCount;
   }
@@ -350,6 +350,20 @@
   }
 }
 
+bool slot_allocator::onRateLimit(std::uint64_t RequestId,
+                                 std::optional<double> PerSecond,
+                                 instant SentAt) {
+  const auto Found = find(RequestId);
+  if (Found == Entries.end() || !Found->second.Upstream) {
+    return false;
+  }
+  auto &Entry = Found->second;
+  Entry.RateLimit = PerSecond.value_or(NoRateLimit);
+  return localScheduler(Entry.Request.Service)
+      .recordRateLimit(*Entry.Upstream, PerSecond, SentAt,
+                       monotonic_clock::now());
+}
+
 void slot_allocator::onLoadReport(std::string_view Service,
                                   upstream_id Upstream,
                                   const balance::load_report &Load) {
@@ -373,14 +387,15 @@
   return false;
 }
 
-void slot_allocator::sendSlotEvent(const slot_entry &Entry,
-                                   std::uint64_t Number, slot_event_kind Kind,
+void slot_allocator::sendSlotEvent(slot_entry &Entry, std::uint64_t Number,
+                                   slot_event_kind Kind,
                                    upstream_result Result) {
   slot_events_message Message;
   Message.Service = Entry.Cell.Service;
   Message.Cell = Entry.Cell.Index;
-  Message.Events.push_back(
-      {Number, Kind, Result, Entry.Upstream ? number(*Entry.Upstream) : 0});
+  Message.Events.push_back({Number, Kind, Result,
+                            Entry.Upstream ? number(*Entry.Upstream) : 0,
+                            std::exchange(Entry.RateLimit, UnknownRateLimit)});
   sendMessage(*Entry.Owner, net::message_kind::SlotEvents, encode(Message));
 }
 
@@ -406,11 +421,30 @@
       Message.Service = Cell.Key.Service;
       Message.Cell = Cell.Key.Index;
       Message.FullSnapshot = true;
+      Message.RateLimits = knownRateLimits(Cell, Now);
       sendMessage(*Cell.Owner, net::message_kind::SlotEvents, encode(Message));
     }
   }
 }
 
+std::vector<named_rate_limit>
+slot_allocator::knownRateLimits(const balance::cell &Cell, instant Now) const {
+  std::vector<named_rate_limit> Known;
+  const auto Scheduler = LocalSchedulers.find(Cell.Key.Service);
+  if (Scheduler == LocalSchedulers.end()) {
+    return Known;
+  }
+  for (const auto &Info : Cell.Upstreams) {
+    const auto *Load = Scheduler->second.find(Info.Id);
+    if (Load != nullptr && Load->RateLimit.answeredAt() != instant{}) {
+      Known.push_back({number(Info.Id),
+                       Load->RateLimit.perSecond().value_or(NoRateLimit),
+                       toMicros(Now - Load->RateLimit.answeredAt())});
+    }
+  }
+  return Known;
+}
+
 void slot_allocator::sendMessage(node_id To, net::message_kind Kind,
                                  const std::string &Payload) {
   if (To != Self) {
--- a/src/traffic/slot_allocator.h
+++ b/src/traffic/slot_allocator.h
@@ -85,6 +85,11 @@
   /// Cancels a waiting request, or releases the slot of a request that was
   /// sent. Unknown ids are ignored.
   void release(std::uint64_t RequestId, balance::upstream_result Result);
+  /// Records the rate limit in the answer to a request that was sent at
+  /// `SentAt`; nothing if the answer names none. Returns true if the limit that
+  /// this router knows changes.
+  bool onRateLimit(std::uint64_t RequestId, std::optional<double> PerSecond,
+                   instant SentAt);
   /// Records a load report of an upstream.
   void onLoadReport(std::string_view Service, upstream_id Upstream,
                     const balance::load_report &Load);
@@ -117,6 +122,9 @@
     std::optional<node_id> Owner;
     instant RequestedAt;
     std::optional<upstream_id> Upstream;
+    /// Rate limit in the answer that the owner has not been told yet, as in
+    /// `slot_event`.
+    double RateLimit = UnknownRateLimit;
   };
   using slot_entry_map = std::unordered_map<std::uint64_t, slot_entry>;
 
@@ -140,9 +148,11 @@
   void onReply(node_id From, const slot_reply_message &Reply);
   void grantSlot(slot_entry &Entry, upstream_id Upstream);
   void refuse(std::uint64_t Number, const slot_refusal &Refusal);
-  void sendSlotEvent(const slot_entry &Entry, std::uint64_t Number,
+  void sendSlotEvent(slot_entry &Entry, std::uint64_t Number,
                      slot_event_kind Kind, balance::upstream_result Result);
   void sendSlotSnapshots();
+  [[nodiscard]] std::vector<named_rate_limit>
+  knownRateLimits(const balance::cell &Cell, instant Now) const;
   void sendMessage(node_id To, net::message_kind Kind,
                    const std::string &Payload);
   void expireOwnerRequests(instant Now);
--- a/src/traffic/slot_host.cpp
+++ b/src/traffic/slot_host.cpp
@@ -1,6 +1,7 @@
 #include "traffic/slot_host.h"
 
 #include "base/log.h"
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <cmath>
@@ -37,6 +38,17 @@
   }
 }
 
+std::optional<double> optionalRateLimit(double PerSecond) {
+  return PerSecond >= 0 ? std::optional(PerSecond) : std::nullopt;
+}
+
+void logRateLimit(std::uint32_t Upstream, double PerSecond) {
+  logEvent(
+      log_level::Info, "rate_limit",
+      {{"upstream_id", Upstream},
+       {"per_second", PerSecond >= 0 ? fmt::format("{}", PerSecond) : "none"}});
+}
+
 } // namespace
 
 void slot_host::setOwnedCells(const std::vector<balance::cell> &List,
@@ -145,6 +157,7 @@
     applyEvent(Cell, From, Event, Now);
   }
   if (Message.FullSnapshot) {
+    mergeRateLimits(Cell, Message, Now);
     releaseUnlisted(Cell, From, Message.Events, Now);
   }
   dispatchCell(Cell, Now);
@@ -186,6 +199,7 @@
     return;
   }
   const std::uint64_t Id = Existing->second;
+  recordRateLimit(Cell, Id, Event, Now);
   if (Event.Kind == slot_event_kind::FirstByte) {
     Cell.Scheduler.onFirstByte(Id, Now);
     return;
@@ -196,6 +210,29 @@
   eraseRequest(Cell, Id);
 }
 
+void slot_host::recordRateLimit(hosted_cell &Cell, std::uint64_t Id,
+                                const slot_event &Event, instant Now) {
+  if (Event.RateLimit == UnknownRateLimit) {
+    return;
+  }
+  if (Cell.Scheduler.recordRateLimit(Id, optionalRateLimit(Event.RateLimit),
+                                     Now)) {
+    logRateLimit(Event.Upstream, Event.RateLimit);
+  }
+}
+
+void slot_host::mergeRateLimits(hosted_cell &Cell,
+                                const slot_events_message &Message,
+                                instant Now) {
+  for (const auto &Named : Message.RateLimits) {
+    if (Cell.Scheduler.mergeRateLimit(upstream_id{Named.Upstream},
+                                      optionalRateLimit(Named.PerSecond),
+                                      Now - duration(Named.AgeUs), Now)) {
+      logRateLimit(Named.Upstream, Named.PerSecond);
+    }
+  }
+}
+
 void slot_host::releaseUnlisted(hosted_cell &Cell, node_id From,
                                 const std::vector<slot_event> &InUseEvents,
                                 instant Now) {
--- a/src/traffic/slot_host.h
+++ b/src/traffic/slot_host.h
@@ -71,6 +71,10 @@
   void reply(const hosted_cell &Cell, slot_reply_message Reply, node_id To);
   void applyEvent(hosted_cell &Cell, node_id From, const slot_event &Event,
                   instant Now);
+  void recordRateLimit(hosted_cell &Cell, std::uint64_t Id,
+                       const slot_event &Event, instant Now);
+  void mergeRateLimits(hosted_cell &Cell, const slot_events_message &Message,
+                       instant Now);
   void releaseUnlisted(hosted_cell &Cell, node_id From,
                        const std::vector<slot_event> &InUseEvents, instant Now);
   std::uint64_t getOrAssignId(hosted_cell &Cell, const remote_request &Key);
--- a/src/traffic/slot_messages.h
+++ b/src/traffic/slot_messages.h
@@ -73,14 +73,31 @@
   InUse = 3,     ///< the slot is in use; sent repeatedly to inform a new owner
 };
 
+/// A rate limit in a message: requests per second, `NoRateLimit` or
+/// `UnknownRateLimit`.
+constexpr double NoRateLimit = -1;      ///< the answer names none
+constexpr double UnknownRateLimit = -2; ///< no answer has arrived
+
 /// An event of one request.
 struct slot_event {
   std::uint64_t RequestNumber = 0;
   slot_event_kind Kind = slot_event_kind::Ended;
   balance::upstream_result Result = balance::upstream_result::Ignored;
   std::uint32_t Upstream = 0;
+  /// The rate limit that the answer names.
+  double RateLimit = UnknownRateLimit;
+
+  MSGPACK_DEFINE(RequestNumber, Kind, Result, Upstream, RateLimit)
+};
+
+/// The rate limit that an upstream has named to a router.
+struct named_rate_limit {
+  std::uint32_t Upstream = 0;
+  double PerSecond = NoRateLimit;
+  /// Time since the answer. Relative, because the clocks of nodes differ.
+  std::int64_t AgeUs = 0;
 
-  MSGPACK_DEFINE(RequestNumber, Kind, Result, Upstream)
+  MSGPACK_DEFINE(Upstream, PerSecond, AgeUs)
 };
 
 /// `slot_events`: a router informs a cell owner about its requests.
@@ -91,8 +108,11 @@
   /// releases those that are not listed.
   bool FullSnapshot = false;
   std::vector<slot_event> Events;
+  /// Only in a snapshot: the rate limits that the router knows, so that a new
+  /// owner keeps them.
+  std::vector<named_rate_limit> RateLimits;
 
-  MSGPACK_DEFINE(Service, Cell, FullSnapshot, Events)
+  MSGPACK_DEFINE(Service, Cell, FullSnapshot, Events, RateLimits)
 };
 
 } // namespace arbutus::traffic
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -130,6 +130,7 @@
   Request->Attempt.IsEventStream =
       net::headerOf(Headers, "Content-Type").starts_with(EventStreamType);
   recordRestrictions(*Request, Now);
+  recordRateLimit(*Request);
   recordUpstreamAnswers(*Request, Now);
 }
 
--- a/src/traffic/upstream_selection.cpp
+++ b/src/traffic/upstream_selection.cpp
@@ -1,6 +1,7 @@
 #include "traffic/upstream_selection.h"
 
 #include "base/log.h"
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
@@ -100,4 +101,20 @@
   }
 }
 
+void recordRateLimit(const traffic_request &Request) {
+  const auto &Attempt = Request.Attempt;
+  const auto &Info = Attempt.ResponseInfo;
+  if (!Info.Identified || Info.Misdirected) {
+    return; // possibly the response of another upstream
+  }
+  if (Request.Shard.Slots.onRateLimit(Request.Id, Info.RateLimit,
+                                      Attempt.SentAt)) {
+    logEvent(log_level::Info, "upstream_rate_limit",
+             {{"upstream", Attempt.Instance},
+              {"request", Request.Caller.Id},
+              {"per_second",
+               Info.RateLimit ? fmt::format("{}", *Info.RateLimit) : "none"}});
+  }
+}
+
 } // namespace arbutus::traffic
--- a/src/traffic/upstream_selection.h
+++ b/src/traffic/upstream_selection.h
@@ -43,6 +43,9 @@
 /// to its upstream.
 void recordRestrictions(const traffic_request &Request, instant Now);
 
+/// Records the rate limit that the response of the latest attempt names.
+void recordRateLimit(const traffic_request &Request);
+
 } // namespace arbutus::traffic
 
 #endif
--- a/tests/traffic/test_slot_host.cpp
+++ b/tests/traffic/test_slot_host.cpp
@@ -48,7 +48,7 @@
 
   void sendEvents(node_id From, bool FullSnapshot,
                   std::vector<slot_event> Events) {
-    Host.onEvents(From, {"s", 0, FullSnapshot, std::move(Events)}, Start);
+    Host.onEvents(From, {"s", 0, FullSnapshot, std::move(Events), {}}, Start);
   }
 
   std::vector<std::string> drainReplies() { return std::exchange(Replies, {}); }
