--- a/tests/platform/test_platform_codecs.cpp
+++ b/tests/platform/test_platform_codecs.cpp
@@ -151,6 +151,47 @@
   }
 }
 
+// Guards against one entry that cannot be read and costs the whole page: the
+// list would not be followed any more, and its upstreams be used although they
+// are gone (LOST).
+TEST_CASE("an entry that cannot be read leaves the others") {
+  const std::string Sound =
+      R"({"id":"i-1","service":"s","address":"10.1.1.1:80","zone":"a",)"
+      R"("slots":4,"state":"ready","cold_remaining_ms":0})";
+  const auto With = [&](const std::string &Field, const std::string &Value) {
+    return Sound.substr(0, Sound.size() - 1) + ",\"" + Field + "\":" + Value +
+           "}";
+  };
+  const std::string Deep(100'000, '[');
+  const std::vector<std::pair<std::string, std::string>> Odd = {
+      {"a number beyond a double", With("slots", "1e999")},
+      {"a number beyond a double that is not used", With("x", "-1e400")},
+      {"slots beyond an integer", With("slots", "1e300")},
+      {"slots beyond 64 bits", With("slots", "99999999999999999999999")},
+      {"nested 100,000 deep", With("x", Deep + std::string(100'000, ']'))},
+      {"nothing but brackets", Deep + std::string(100'000, ']')},
+      {"port above 65535", With("address", R"("10.1.1.2:70000")")},
+      {"port 0", With("address", R"("10.1.1.2:0")")},
+      {"negative port", With("address", R"("10.1.1.2:-1")")},
+      {"bytes that are no text", With("x", "\"\xff\xfe\"")},
+      {"no JSON", "nonsense"},
+      {"nothing", ""},
+  };
+  for (const auto &[What, Entry] : Odd) {
+    CAPTURE(What);
+    for (const auto &Entries : {Entry + "," + Sound, Sound + "," + Entry,
+                                Sound + ", " + Entry + " "}) {
+      const auto Page = parseInstancePage(R"({"instances":[)" + Entries +
+                                          R"(], "next":"p-50"})");
+      REQUIRE(Page);
+      REQUIRE(Page->Instances.size() == 1);
+      CHECK(Page->Instances[0].Name == "i-1");
+      CHECK(Page->MalformedEntries == 1);
+      CHECK(Page->NextPageToken == "p-50");
+    }
+  }
+}
+
 // Guards against a malformed entry that makes the whole list unusable, or that
 // is taken for an upstream.
 TEST_CASE("malformed entries of the instance list are left out") {
