--- a/tests/platform/test_platform_codecs.cpp
+++ b/tests/platform/test_platform_codecs.cpp
@@ -5,6 +5,7 @@
 #include "store/config_rules.h"
 #include "store/resource_json.h"
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -158,9 +159,9 @@
   const std::string Sound =
       R"({"id":"i-1","service":"s","address":"10.1.1.1:80","zone":"a",)"
       R"("slots":4,"state":"ready","cold_remaining_ms":0})";
+  const std::string_view Open(Sound.data(), Sound.size() - 1);
   const auto With = [&](const std::string &Field, const std::string &Value) {
-    return Sound.substr(0, Sound.size() - 1) + ",\"" + Field + "\":" + Value +
-           "}";
+    return fmt::format("{},\"{}\":{}}}", Open, Field, Value);
   };
   const std::string Deep(100'000, '[');
   const std::vector<std::pair<std::string, std::string>> Odd = {
@@ -179,8 +180,9 @@
   };
   for (const auto &[What, Entry] : Odd) {
     CAPTURE(What);
-    for (const auto &Entries : {Entry + "," + Sound, Sound + "," + Entry,
-                                Sound + ", " + Entry + " "}) {
+    for (const auto &Entries : {fmt::format("{},{}", Entry, Sound),
+                                fmt::format("{},{}", Sound, Entry),
+                                fmt::format("{}, {} ", Sound, Entry)}) {
       const auto Page = parseInstancePage(R"({"instances":[)" + Entries +
                                           R"(], "next":"p-50"})");
       REQUIRE(Page);
