--- a/src/balance/rate_limit.h
+++ b/src/balance/rate_limit.h
@@ -25,8 +25,9 @@
   bool recordAnswer(std::optional<double> PerSecond, instant SentAt,
                     instant Now) noexcept;
 
-  /// Number of schedulers that send to the upstream independently of each
-  /// other; each takes an equal part of the limit.
+  /// Records that a request is sent. `SchedulerCount` schedulers send to the
+  /// upstream independently of each other; each takes an equal part of the
+  /// limit.
   void recordSend(std::uint32_t SchedulerCount, instant Now) noexcept;
 
   /// True if a request may be sent now.
@@ -43,6 +44,7 @@
 private:
   std::optional<double> PerSecond;
   instant AnsweredAt{};
+  /// Earliest time of the next request under the limit.
   instant NextSend{};
 };
 
--- a/src/balance/request_scheduler_placement.cpp
+++ b/src/balance/request_scheduler_placement.cpp
@@ -22,8 +22,9 @@
 /// Penalty of a plain upstream whose requests all fail, in requests per slot.
 constexpr double FailurePenaltyRequestsPerSlot = 12;
 /// From this failure rate on, a plain upstream with spare capacity is no longer
-/// preferred to a full one. Lower rates are attributed to the requests, not to
-/// the upstream.
+/// preferred to a full one, and a team that is far behind does not take a model
+/// engine only because it is free. Lower rates are attributed to the requests,
+/// not to the upstream.
 constexpr double TolerableFailureRate = 0.35;
 /// A team waits for its preferred upstreams until it is this time of an even
 /// share behind another team. Fairness over a few seconds needs a bound.
