Spread the requests of routers that share a rate limit

Cause: the owner of the cell froze at 9 s. Ruled out: the pacing of the owner (no finding without the freeze), and the time before the limit was known. Change: a router that shares a limit may send only shortly after certain times, an interval apart, at a phase of its own, so that the parts do not add up at one moment. Test: tests/balance/test_rate_limit.cpp, "routers without an owner keep to the limit together". Conclusion: an equal part of a limit is kept only if the parts are spread in time.

--- a/src/balance/rate_limit.h
+++ b/src/balance/rate_limit.h
@@ -13,6 +13,11 @@
 /// always an argument.
 class rate_limit {
 public:
+  /// Sets the number of schedulers that send to the upstream independently of
+  /// each other; each takes an equal part of the limit. `Phase`, from 0 to 1,
+  /// differs between them and spreads their requests over time.
+  void setShare(std::uint32_t Schedulers, double SharePhase) noexcept;
+
   /// Records the limit in an answer: requests per second that the upstream
   /// takes from the whole fleet, or nothing if the answer names none. Ignored
   /// if it is older than what is known. Returns true if the limit changes.
@@ -25,15 +30,14 @@
   bool recordAnswer(std::optional<double> PerSecond, instant SentAt,
                     instant Now) noexcept;
 
-  /// Records that a request is sent. `SchedulerCount` schedulers send to the
-  /// upstream independently of each other; each takes an equal part of the
-  /// limit.
-  void recordSend(std::uint32_t SchedulerCount, instant Now) noexcept;
+  /// Records that a request is sent.
+  void recordSend(instant Now) noexcept;
 
-  /// True if a request may be sent now.
-  [[nodiscard]] bool allowsRequest(instant Now) const noexcept {
-    return !PerSecond || Now >= NextSend;
-  }
+  /// True if a request may be sent now. A scheduler that shares the limit with
+  /// others may send only shortly after certain times: if each could use its
+  /// part at any time, all would send at once when they lose the owner that
+  /// they had in common.
+  [[nodiscard]] bool allowsRequest(instant Now) const noexcept;
 
   [[nodiscard]] std::optional<double> perSecond() const noexcept {
     return PerSecond;
@@ -42,6 +46,12 @@
   [[nodiscard]] instant answeredAt() const noexcept { return AnsweredAt; }
 
 private:
+  [[nodiscard]] bool isShared() const noexcept { return SchedulerCount > 1; }
+  /// Time between two requests of this scheduler; only with a limit.
+  [[nodiscard]] duration interval() const noexcept;
+
+  std::uint32_t SchedulerCount = 1;
+  double Phase = 0;
   std::optional<double> PerSecond;
   instant AnsweredAt{};
   /// Earliest time of the next request under the limit.
--- a/src/balance/request_scheduler.cpp
+++ b/src/balance/request_scheduler.cpp
@@ -28,6 +28,13 @@
 /// Back-off after an upstream had no capacity left.
 constexpr duration OverloadBackoff = 100ms;
 
+/// A number from 0 to 1 that differs between schedulers, so that their requests
+/// to an upstream are spread over time.
+double schedulerPhase(const std::string &Upstream, std::uint64_t Seed) {
+  return static_cast<double>(hash64(Upstream, Seed) >> 11U) /
+         static_cast<double>(std::uint64_t{1} << 53U);
+}
+
 } // namespace
 
 request_scheduler::request_scheduler(std::uint64_t Seed) noexcept
@@ -45,12 +52,12 @@
         Info.ColdRequestsPerSecond > 0 && Load.Info.ColdRequestsPerSecond <= 0;
     Load.Info = Info;
     Load.Cache.setCapacity(Info.CacheTokens);
+    const double Phase = schedulerPhase(Info.Name, Seed);
+    Load.RateLimit.setShare(SchedulerCount, Phase);
     if (TurnsCold) {
       // Routers start at different phases of the interval, so that the first
       // requests of the fleet do not arrive together.
       const auto Interval = coldInterval(Load);
-      const double Phase = static_cast<double>(hash64(Info.Name, Seed) >> 11U) /
-                           static_cast<double>(std::uint64_t{1} << 53U);
       Load.NextColdDispatch =
           Now + duration(std::llround(static_cast<double>(toMicros(Interval)) *
                                       Phase));
@@ -374,7 +381,7 @@
   if (Load.Info.ColdRequestsPerSecond > 0) {
     Load.NextColdDispatch = Now + coldInterval(Load);
   }
-  Load.RateLimit.recordSend(SchedulerCount, Now);
+  Load.RateLimit.recordSend(Now);
   InFlightById[Request.RequestId] = {Upstream, Uncached, Now};
   FairQueue.charge(Request.Team, Request.Cost);
   recordServedCost(Request.Team, Request.Cost, Now);
--- a/tests/balance/test_rate_limit.cpp
+++ b/tests/balance/test_rate_limit.cpp
@@ -3,6 +3,7 @@
 
 #include <cmath>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -31,11 +32,12 @@
   for (const auto &Row : Rows) {
     CAPTURE(Row.PerSecond, Row.Schedulers);
     rate_limit Limit;
+    Limit.setShare(Row.Schedulers, 0);
     CHECK(Limit.record(Row.PerSecond, Start, Start));
     int Sent = 0;
     for (instant Now = Start; Now < Start + 10s; Now += 10ms) {
       if (Limit.allowsRequest(Now)) {
-        Limit.recordSend(Row.Schedulers, Now);
+        Limit.recordSend(Now);
         ++Sent;
       }
     }
@@ -44,6 +46,37 @@
   }
 }
 
+// Guards against routers that lose the owner of a cell and then all send a
+// request at once to an upstream that takes few (LIMIT). The owner has sent up
+// to the limit; the users' rule leaves half of the limit of 4 s and five
+// requests.
+TEST_CASE("routers without an owner keep to the limit together") {
+  constexpr std::uint32_t Routers = 12;
+  for (const double PerSecond : {0.5, 1.2, 1.6, 2.3, 6.0}) {
+    for (std::uint32_t Seed = 1; Seed <= 20; ++Seed) {
+      CAPTURE(PerSecond, Seed);
+      std::mt19937 Random(Seed);
+      std::uniform_real_distribution<double> Phase(0, 1);
+      std::vector<rate_limit> Limits(Routers);
+      for (auto &Limit : Limits) {
+        Limit.setShare(Routers, Phase(Random));
+        Limit.record(PerSecond, Start, Start);
+      }
+      // A new owner takes the cell within a second.
+      int Sent = 0;
+      for (instant Now = Start + 6s; Now < Start + 7s; Now += 10ms) {
+        for (auto &Limit : Limits) {
+          if (Limit.allowsRequest(Now)) {
+            Limit.recordSend(Now);
+            ++Sent;
+          }
+        }
+      }
+      CHECK(Sent <= 0.5 * 4 * PerSecond + 5);
+    }
+  }
+}
+
 // Guards against a burst after a pause in which the upstream got nothing.
 TEST_CASE("an unused limit does not add up") {
   rate_limit Limit;
@@ -51,7 +84,7 @@
   const instant Later = Start + 60s;
   int Sent = 0;
   for (; Limit.allowsRequest(Later); ++Sent) {
-    Limit.recordSend(1, Later);
+    Limit.recordSend(Later);
   }
   CHECK(Sent <= 4);
 }
