Bound the log of a voter in bytes instead of entries

A restart read all of it, held the file, the entries and a copy of the entries at once, and needed about twice the memory of the run before it, which is why the fault showed at the restart.

Appends in flight are bounded in bytes too.

Why it works: what a restart reads is what the run before it kept, and that does not depend on the number of changes any more.

--- a/src/consensus/options.h
+++ b/src/consensus/options.h
@@ -40,10 +40,17 @@
 /// Appends in flight to one peer.
 inline constexpr std::size_t MaxAppendsInFlight = 16;
 
+/// Payload bytes in flight to one peer, unless a single append is larger.
+inline constexpr std::uint64_t MaxBytesInFlight = std::uint64_t{1} << 20U;
+
 /// Entries kept in the log below a snapshot's index, so that a slightly lagging
 /// peer gets entries instead of the whole snapshot.
 inline constexpr std::uint64_t DefaultTrailingEntries = 1000;
 
+/// Payload bytes of these entries. An entry may hold a whole configuration, so
+/// their number alone does not bound the memory that they take.
+inline constexpr std::uint64_t DefaultTrailingBytes = std::uint64_t{4} << 20U;
+
 /// Settings of one `raft_node`.
 struct raft_options {
   node_id NodeId{};
@@ -57,6 +64,7 @@
   std::size_t MaxAppendBytes = DefaultMaxAppendBytes;
   std::size_t MaxAppendEntries = DefaultMaxAppendEntries;
   std::uint64_t TrailingEntries = DefaultTrailingEntries;
+  std::uint64_t TrailingBytes = DefaultTrailingBytes;
 };
 
 } // namespace arbutus::consensus
--- a/src/consensus/raft_log.cpp
+++ b/src/consensus/raft_log.cpp
@@ -5,16 +5,22 @@
 
 namespace arbutus::consensus::impl {
 
-raft_log::raft_log(const recovered_state &Recovered)
-    : Entries(Recovered.Entries.begin(), Recovered.Entries.end()) {
-  if (Recovered.Snapshot) {
-    BaseIndex = Recovered.Snapshot->Meta.Index;
-    BaseTerm = Recovered.Snapshot->Meta.Term;
+raft_log::raft_log(const std::optional<snapshot> &Snapshot,
+                   std::vector<log_entry> Recovered) {
+  if (Snapshot) {
+    BaseIndex = Snapshot->Meta.Index;
+    BaseTerm = Snapshot->Meta.Term;
   }
-  if (!Entries.empty() && Entries.front().Index != BaseIndex + 1) {
-    BaseIndex = Entries.front().Index;
-    BaseTerm = Entries.front().Term;
-    Entries.pop_front();
+  const bool FollowsBase =
+      Recovered.empty() || Recovered.front().Index == BaseIndex + 1;
+  if (!FollowsBase) {
+    BaseIndex = Recovered.front().Index - 1;
+  }
+  for (auto &Entry : Recovered) {
+    append(std::move(Entry));
+  }
+  if (!FollowsBase) {
+    removeFirst();
   }
 }
 
@@ -48,20 +54,19 @@
 
 void raft_log::append(log_entry Entry) {
   assert(Entry.Index == lastIndex() + 1);
-  Entries.push_back(std::move(Entry));
+  const auto EndOffset = endOffset(lastIndex()) + Entry.Payload.size();
+  Entries.push_back({std::move(Entry), EndOffset});
 }
 
 void raft_log::truncateFrom(std::uint64_t Index) {
-  while (!Entries.empty() && Entries.back().Index >= Index) {
+  while (!Entries.empty() && lastIndex() >= Index) {
     Entries.pop_back();
   }
 }
 
 void raft_log::compactThrough(std::uint64_t Index) {
-  while (!Entries.empty() && Entries.front().Index <= Index) {
-    BaseIndex = Entries.front().Index;
-    BaseTerm = Entries.front().Term;
-    Entries.pop_front();
+  while (!Entries.empty() && BaseIndex < Index) {
+    removeFirst();
   }
 }
 
@@ -69,6 +74,15 @@
   Entries.clear();
   BaseIndex = Index;
   BaseTerm = Term;
+  BaseOffset = 0;
+}
+
+void raft_log::removeFirst() {
+  const auto &First = Entries.front();
+  BaseIndex = First.Entry.Index;
+  BaseTerm = First.Entry.Term;
+  BaseOffset = First.EndOffset;
+  Entries.pop_front();
 }
 
 } // namespace arbutus::consensus::impl
--- a/src/consensus/raft_log.h
+++ b/src/consensus/raft_log.h
@@ -19,14 +19,15 @@
 
   /// Starts from recovered entries. If no snapshot directly precedes the first
   /// entry, that entry becomes the base, because the term before it is unknown.
-  explicit raft_log(const recovered_state &Recovered);
+  raft_log(const std::optional<snapshot> &Snapshot,
+           std::vector<log_entry> Recovered);
 
   [[nodiscard]] std::uint64_t baseIndex() const noexcept { return BaseIndex; }
   [[nodiscard]] std::uint64_t lastIndex() const noexcept {
     return BaseIndex + Entries.size();
   }
   [[nodiscard]] std::uint64_t lastTerm() const noexcept {
-    return Entries.empty() ? BaseTerm : Entries.back().Term;
+    return Entries.empty() ? BaseTerm : Entries.back().Entry.Term;
   }
 
   /// Returns the term at `Index`, or nothing if `Index` is before the base or
@@ -37,7 +38,14 @@
   /// Returns the entry at `Index`, which must be after the base and at most the
   /// last index.
   [[nodiscard]] const log_entry &at(std::uint64_t Index) const {
-    return Entries[Index - BaseIndex - 1];
+    return Entries[Index - BaseIndex - 1].Entry;
+  }
+
+  /// Payload bytes of the entries after `From` up to and including `To`, both
+  /// from the base to the last index.
+  [[nodiscard]] std::uint64_t payloadBytes(std::uint64_t From,
+                                           std::uint64_t To) const {
+    return endOffset(To) - endOffset(From);
   }
 
   /// Copies entries from `From` on: at most `MaxEntries` and, beyond the first,
@@ -59,9 +67,22 @@
   void reset(std::uint64_t Index, std::uint64_t Term);
 
 private:
+  struct stored_entry {
+    log_entry Entry;
+    /// Payload bytes of all entries up to this one since the log was made.
+    std::uint64_t EndOffset = 0;
+  };
+
+  [[nodiscard]] std::uint64_t endOffset(std::uint64_t Index) const {
+    return Index == BaseIndex ? BaseOffset
+                              : Entries[Index - BaseIndex - 1].EndOffset;
+  }
+  void removeFirst();
+
   std::uint64_t BaseIndex = 0;
   std::uint64_t BaseTerm = 0;
-  std::deque<log_entry> Entries;
+  std::uint64_t BaseOffset = 0;
+  std::deque<stored_entry> Entries;
 };
 
 } // namespace arbutus::consensus::impl
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -190,8 +190,8 @@
   State->Options = Options;
   State->Random = Random;
   State->HardState = Recovered.HardState;
-  State->Log = raft_log(Recovered);
   restoreMembershipHistory(*State, Recovered);
+  State->Log = raft_log(Recovered.Snapshot, std::move(Recovered.Entries));
   State->Snapshot = std::move(Recovered.Snapshot);
   State->CommitIndex = State->Snapshot ? State->Snapshot->Meta.Index : 0;
   State->SyncedIndex = State->Log.lastIndex();
@@ -243,6 +243,14 @@
   return snapshotMetaAt(*State, Index);
 }
 
+const std::optional<snapshot> &raft_node::latestSnapshot() const noexcept {
+  return State->Snapshot;
+}
+
+std::uint64_t raft_node::uncommittedBytes() const {
+  return State->Log.payloadBytes(State->CommitIndex, State->Log.lastIndex());
+}
+
 raft_status raft_node::status() const {
   raft_status Status;
   Status.NodeId = State->Options.NodeId;
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -71,6 +71,12 @@
   [[nodiscard]] std::optional<snapshot_meta>
   snapshotMeta(std::uint64_t Index) const;
 
+  /// The newest snapshot that was recovered, saved or received.
+  [[nodiscard]] const std::optional<snapshot> &latestSnapshot() const noexcept;
+
+  /// Payload bytes of the entries that are not committed yet.
+  [[nodiscard]] std::uint64_t uncommittedBytes() const;
+
   [[nodiscard]] raft_status status() const;
 
 private:
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -50,11 +50,22 @@
   return true;
 }
 
-/// Sends appends until the peer has everything or the in-flight limit is
+/// Payload bytes that were sent to the peer and not acknowledged.
+std::uint64_t bytesInFlight(const raft_state &State, const progress &Peer) {
+  const auto Base = State.Log.baseIndex();
+  if (Peer.NextIndex <= Base) {
+    return 0;
+  }
+  return State.Log.payloadBytes(std::max(Peer.MatchIndex, Base),
+                                Peer.NextIndex - 1);
+}
+
+/// Sends appends until the peer has everything or an in-flight limit is
 /// reached.
 void sendPipelinedAppends(raft_state &State, node_id Node, progress &Peer) {
   while (!Peer.Probing && !Peer.Transfer &&
          Peer.InFlightAppends < MaxAppendsInFlight &&
+         bytesInFlight(State, Peer) < MaxBytesInFlight &&
          sendAppend(State, Node, Peer)) {
   }
 }
--- a/src/consensus/snapshot_transfer.cpp
+++ b/src/consensus/snapshot_transfer.cpp
@@ -47,6 +47,22 @@
   State.Out.Writes.ResetLog = true;
 }
 
+/// Returns the last index that is removed from the log after a snapshot at
+/// `SnapshotIndex`. The entries kept below the snapshot are bounded in number
+/// and in bytes.
+std::uint64_t compactionIndex(const raft_state &State,
+                              std::uint64_t SnapshotIndex) {
+  const auto &Log = State.Log;
+  const auto Covered = SnapshotIndex - Log.baseIndex();
+  auto Through =
+      SnapshotIndex - std::min(Covered, State.Options.TrailingEntries);
+  while (Log.payloadBytes(Through, SnapshotIndex) >
+         State.Options.TrailingBytes) {
+    ++Through;
+  }
+  return Through;
+}
+
 /// Appends the chunk to the incoming snapshot. Returns the offset of the next
 /// missing byte.
 std::uint64_t appendChunk(raft_state &State, const message &Message,
@@ -145,8 +161,8 @@
   while (History.size() > 1 && History[1].Index <= Saved.Index) {
     History.erase(History.begin());
   }
-  if (Saved.Index > State.Log.baseIndex() + State.Options.TrailingEntries) {
-    const auto Through = Saved.Index - State.Options.TrailingEntries;
+  const auto Through = compactionIndex(State, Saved.Index);
+  if (Through > State.Log.baseIndex()) {
     State.Log.compactThrough(Through);
     requestCompaction(State, Through);
   }
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -5,6 +5,7 @@
 #include "consensus/consensus.h"
 #include "control/leader_duties.h"
 #include "control/resource_api.h"
+#include "control/voter_limits.h"
 #include "control/voter_log.h"
 #include "control/voter_queue.h"
 #include "storage/storage.h"
@@ -28,10 +29,6 @@
 /// Applied entries after which a snapshot is saved. It bounds the entries that
 /// a restart has to replay.
 constexpr std::uint64_t EntriesPerSnapshot = 2000;
-/// Log size above which a snapshot is saved before `EntriesPerSnapshot` is
-/// reached: entries that hold whole configurations would fill a small disk
-/// first.
-constexpr std::uint64_t MaxLogBytes = std::uint64_t{8} << 20U;
 /// Time between two attempts to reopen the data directory after a failed write
 /// or sync.
 constexpr duration ReopenInterval = 500ms;
@@ -63,11 +60,14 @@
   bool isLeading(instant Now) const;
   void publishStatus(instant Now);
   void handleStorageFailure(const storage::storage_error &Error, instant Now);
-  void recoverStore(const consensus::recovered_state &Recovered);
+  void recoverStore();
+  [[nodiscard]] consensus::raft_options raftOptions() const;
+  [[nodiscard]] bool hasRoomFor(const voter_frame &Frame) const;
   void tryRecoverStorage(instant Now);
   [[nodiscard]] storage::storage_result<storage::open_result> reopenLog();
 
   settings::settings Settings;
+  voter_limits Limits;
   storage::file_operations Files;
   consensus::data_directory_id DirectoryId;
   send_function Send;
@@ -78,12 +78,16 @@
   leader_duties Duties;
   std::uint64_t AppliedIndex = 0;
   std::uint64_t SnapshotIndex = 0;
+  /// Payload bytes of the entries applied since the latest snapshot.
+  std::uint64_t BytesSinceSnapshot = 0;
   bool StorageFailed = false;
   /// Time of the next attempt to reopen the data directory; empty if its
   /// content is corrupt, which another attempt cannot repair.
   std::optional<instant> ReopenAt;
   std::vector<consensus::output> Outputs;
   std::vector<queued_command> Queue;
+  /// Bytes of the frames that the queued commands came in.
+  std::uint64_t QueuedBytes = 0;
   std::map<std::uint64_t, proposed_entry> ProposedEntries;
 
   mutable std::mutex Mutex;
@@ -98,14 +102,6 @@
 
 namespace {
 
-consensus::raft_options raftOptions(const settings::settings &Settings,
-                                    consensus::data_directory_id DirectoryId) {
-  consensus::raft_options Options;
-  Options.NodeId = Settings.Node.Id;
-  Options.DirectoryId = DirectoryId;
-  return Options;
-}
-
 std::optional<duration> maxInstanceAge(const settings::settings &Settings) {
   return Settings.Discovery.enabled()
              ? std::optional<duration>(Settings.Discovery.MaxAge)
@@ -118,34 +114,45 @@
                     const send_function &Send,
                     const storage::file_operations &Files,
                     storage::open_result Opened)
-    : Settings(Settings), Files(Files), DirectoryId(Opened.DirectoryId),
-      Send(Send), Log(std::move(Opened.Log)),
-      Raft(raftOptions(Settings, Opened.DirectoryId), Opened.Recovered,
+    : Settings(Settings), Limits(voterLimits(Settings.Limits)), Files(Files),
+      DirectoryId(Opened.DirectoryId), Send(Send), Log(std::move(Opened.Log)),
+      Raft(raftOptions(), std::move(Opened.Recovered),
            std::mt19937_64(std::random_device{}()), monotonic_clock::now()),
       Duties(Settings.Node.Id, Send, maxInstanceAge(Settings)) {
   Status.DirectoryId = DirectoryId;
-  recoverStore(Opened.Recovered);
+  recoverStore();
   logEvent(log_level::Info, "voter_started",
            {{"snapshot_index", SnapshotIndex},
-            {"entries", Opened.Recovered.Entries.size()},
+            {"last_index", Raft.status().LastIndex},
+            {"log_bytes", Log->logBytes()},
             {"fresh_disk", Opened.DirectoryInitialized},
             {"torn_bytes", Opened.TornBytes}});
 }
 
-void voter::state::recoverStore(const consensus::recovered_state &Recovered) {
+consensus::raft_options voter::state::raftOptions() const {
+  consensus::raft_options Options;
+  Options.NodeId = Settings.Node.Id;
+  Options.DirectoryId = DirectoryId;
+  Options.TrailingBytes = Limits.TrailingBytes;
+  return Options;
+}
+
+/// Restores the store from the snapshot that `Raft` was recovered with.
+void voter::state::recoverStore() {
   Store = store::state_machine();
   AppliedIndex = 0;
   SnapshotIndex = 0;
-  if (!Recovered.Snapshot) {
+  BytesSinceSnapshot = 0;
+  const auto &Snapshot = Raft.latestSnapshot();
+  if (!Snapshot) {
     return;
   }
-  const auto &Snapshot = *Recovered.Snapshot;
-  if (Store.restore(*Snapshot.Data).has_error()) {
+  if (Store.restore(*Snapshot->Data).has_error()) {
     logEvent(log_level::Error, "snapshot_unreadable",
-             {{"index", Snapshot.Meta.Index}});
+             {{"index", Snapshot->Meta.Index}});
     StorageFailed = true;
   }
-  AppliedIndex = Snapshot.Meta.Index;
+  AppliedIndex = Snapshot->Meta.Index;
   SnapshotIndex = AppliedIndex;
 }
 
@@ -177,15 +184,16 @@
   // Commands that were not committed get no reply; their senders resend them.
   Outputs.clear();
   Queue.clear();
+  QueuedBytes = 0;
   ProposedEntries.clear();
   Duties.endTerm();
-  Raft = consensus::raft_node(raftOptions(Settings, DirectoryId),
-                              Opened.value().Recovered,
-                              std::mt19937_64(std::random_device{}()), Now);
-  recoverStore(Opened.value().Recovered);
+  Raft =
+      consensus::raft_node(raftOptions(), std::move(Opened.value().Recovered),
+                           std::mt19937_64(std::random_device{}()), Now);
+  recoverStore();
   logEvent(log_level::Info, "storage_recovered",
            {{"snapshot_index", SnapshotIndex},
-            {"entries", Opened.value().Recovered.Entries.size()},
+            {"last_index", Raft.status().LastIndex},
             {"torn_bytes", Opened.value().TornBytes}});
 }
 
@@ -292,11 +300,12 @@
 
 void voter::state::handleClaimRequest(const voter_frame &Frame, instant Now) {
   const auto Message = decode<claim_request_message>(Frame.Payload);
-  if (Message.has_error() || !isLeading(Now)) {
+  if (Message.has_error() || !isLeading(Now) || !hasRoomFor(Frame)) {
     return; // The sender resends it to the leader.
   }
   auto Command = decode<store::command>(Message.value().Command);
   if (Command.has_value()) {
+    QueuedBytes += Frame.Payload.size();
     Queue.push_back({std::move(Command.value()),
                      {command_requester::kind::Router, Frame.From,
                       Message.value().Number, instant{}}});
@@ -305,14 +314,15 @@
 
 void voter::state::handleAdminRequest(const voter_frame &Frame, instant Now) {
   const auto Request = decode<api_request_message>(Frame.Payload);
-  if (Request.has_error() || !isLeading(Now)) {
-    return;
+  if (Request.has_error() || !isLeading(Now) || !hasRoomFor(Frame)) {
+    return; // The sender resends it to the leader.
   }
   auto Plan = planAdminRequest(Request.value(), Store, Duties.liveNodes());
   const command_requester Requester{command_requester::kind::Operator,
                                     Frame.From, Request.value().Number,
                                     instant{}};
   if (Plan.Command) {
+    QueuedBytes += Frame.Payload.size();
     Queue.push_back({std::move(*Plan.Command), Requester});
     return;
   }
@@ -322,6 +332,14 @@
   Send(Requester.Node, net::message_kind::ApiReply, encode(Reply));
 }
 
+/// False while the requests that are queued or not committed yet fill their
+/// share of the log. A leader whose peers are frozen would otherwise add every
+/// resend of a request to its log.
+bool voter::state::hasRoomFor(const voter_frame &Frame) const {
+  const auto Open = QueuedBytes + Raft.uncommittedBytes();
+  return Open == 0 || Open + Frame.Payload.size() <= Limits.UncommittedBytes;
+}
+
 void voter::state::proposeInstanceChanges(const instance_list &List,
                                           instant Now) {
   auto Diff = store::diffInstances(Store.list(store::resource_kind::Instance),
@@ -381,6 +399,7 @@
     }
   }
   Queue.clear();
+  QueuedBytes = 0;
 }
 
 void voter::state::processOutputs(instant Now) {
@@ -403,6 +422,7 @@
         }
         AppliedIndex = Output.SnapshotToRestore->Meta.Index;
         SnapshotIndex = AppliedIndex;
+        BytesSinceSnapshot = 0;
         ProposedEntries.clear();
       }
       for (const auto &Entry : Output.CommittedEntries) {
@@ -441,6 +461,7 @@
 
 void voter::state::applyEntry(const consensus::log_entry &Entry) {
   AppliedIndex = Entry.Index;
+  BytesSinceSnapshot += Entry.Payload.size();
   const auto It = ProposedEntries.find(Entry.Index);
   if (Entry.Kind == consensus::entry_kind::Proposal) {
     const auto Result = Store.apply(Entry.Index, Entry.Payload);
@@ -490,9 +511,8 @@
 }
 
 void voter::state::saveSnapshot(instant Now) {
-  const bool Due =
-      AppliedIndex >= SnapshotIndex + EntriesPerSnapshot ||
-      (AppliedIndex > SnapshotIndex && Log->logBytes() > MaxLogBytes);
+  const bool Due = AppliedIndex >= SnapshotIndex + EntriesPerSnapshot ||
+                   BytesSinceSnapshot >= Limits.SnapshotBytes;
   if (StorageFailed || !Due) {
     return;
   }
@@ -506,10 +526,13 @@
     return;
   }
   SnapshotIndex = AppliedIndex;
+  BytesSinceSnapshot = 0;
   step(consensus::snapshot_saved{AppliedIndex, Data}, Now);
   processOutputs(Now);
   logEvent(log_level::Info, "snapshot_saved",
-           {{"index", SnapshotIndex}, {"bytes", Data->size()}});
+           {{"index", SnapshotIndex},
+            {"bytes", Data->size()},
+            {"log_bytes", Log->logBytes()}});
 }
 
 bool voter::state::isLeading(instant Now) const {
--- /dev/null
+++ b/src/control/voter_limits.cpp
@@ -0,0 +1,37 @@
+#include "control/voter_limits.h"
+
+#include <algorithm>
+
+namespace arbutus::control {
+
+namespace {
+
+constexpr std::uint64_t BytesPerMegabyte = 1'000'000;
+
+/// Log of a voter whose memory and disk are not limited by the settings.
+constexpr std::uint64_t DefaultLogBytes = 16 * BytesPerMegabyte;
+
+/// The log takes at most this fraction of the memory and of the disk. The store
+/// holds the current configuration beside it, and a snapshot is in memory and
+/// on disk twice while it is replaced.
+constexpr std::uint64_t LogFraction = 8;
+
+std::uint64_t logBytes(const settings::limit_settings &Limits) noexcept {
+  std::uint64_t Bytes = DefaultLogBytes;
+  for (const auto Megabytes : {Limits.MemoryMegabytes, Limits.DiskMegabytes}) {
+    if (Megabytes != 0) {
+      Bytes = std::min(Bytes, Megabytes * BytesPerMegabyte / LogFraction);
+    }
+  }
+  return Bytes;
+}
+
+} // namespace
+
+voter_limits voterLimits(const settings::limit_settings &Limits) noexcept {
+  const auto Bytes = logBytes(Limits);
+  const auto Eighth = Bytes / 8;
+  return {3 * Eighth, 2 * Eighth, 2 * Eighth, Eighth};
+}
+
+} // namespace arbutus::control
--- /dev/null
+++ b/src/control/voter_limits.h
@@ -0,0 +1,31 @@
+#ifndef ARBUTUS_CONTROL_VOTER_LIMITS_H
+#define ARBUTUS_CONTROL_VOTER_LIMITS_H
+
+#include "settings/settings.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace arbutus::control {
+
+/// Bounds in bytes of the log that a voter holds in memory and on disk, and
+/// that it reads back at its next start. Entries may hold whole configurations,
+/// so a bound on their number would not bound their size.
+struct voter_limits {
+  /// Payload applied since the latest snapshot after which the next is saved.
+  std::uint64_t SnapshotBytes = 0;
+  /// Payload kept below the latest snapshot for peers that lag.
+  std::uint64_t TrailingBytes = 0;
+  /// Payload that a leader takes before it is committed.
+  std::uint64_t UncommittedBytes = 0;
+  /// Size at which a new file of the log starts. Only whole files are removed.
+  std::size_t SegmentBytes = 0;
+};
+
+/// Shares out the part of the VM's memory and disk that the log may take.
+[[nodiscard]] voter_limits
+voterLimits(const settings::limit_settings &Limits) noexcept;
+
+} // namespace arbutus::control
+
+#endif
--- a/src/control/voter_log.cpp
+++ b/src/control/voter_log.cpp
@@ -2,6 +2,7 @@
 
 #include "consensus/consensus.h"
 #include "control/voter.h"
+#include "control/voter_limits.h"
 
 #include <algorithm>
 #include <random>
@@ -15,6 +16,7 @@
   storage::durable_log_options Options;
   Options.Directory = Settings.Node.DataDirectory.string();
   Options.Node = Settings.Node.Id;
+  Options.SegmentBytes = voterLimits(Settings.Limits).SegmentBytes;
   std::random_device Random;
   // The lowest bit is set, so that a random id never equals the id of a
   // directory that was created at bootstrap.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -25,6 +25,7 @@
 constexpr impl::integer_range DrainSecondsRange{1, 3600};
 constexpr impl::integer_range TerminationGraceSecondsRange{0, 3600};
 constexpr impl::integer_range DescriptorCountRange{0, 1048576};
+constexpr impl::integer_range MegabytesRange{0, 16777216};
 constexpr impl::integer_range PortRange{1, 65535};
 constexpr impl::integer_range AddressTtlMsRange{100, 3600000};
 constexpr impl::integer_range PollIntervalMsRange{50, 60000};
@@ -316,6 +317,10 @@
   assign(Limits.TerminationGracePeriod,
          Reader.integer("killed_after_seconds", TerminationGraceSecondsRange,
                         presence::Optional));
+  assign(Limits.MemoryMegabytes,
+         Reader.integer("memory_mb", MegabytesRange, presence::Optional));
+  assign(Limits.DiskMegabytes,
+         Reader.integer("disk_mb", MegabytesRange, presence::Optional));
   Reader.reportUnknownKeys();
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <filesystem>
 #include <string>
 #include <string_view>
@@ -119,6 +120,10 @@
   /// Time from the termination signal until the platform kills the process; 0
   /// if it never does. The process exits before.
   std::chrono::seconds TerminationGracePeriod{0};
+  /// Memory of the process and size of the disk under the data directory, in
+  /// megabytes; 0 if they are not limited.
+  std::uint64_t MemoryMegabytes = 0;
+  std::uint64_t DiskMegabytes = 0;
 };
 
 /// `[testing]`
--- a/src/storage/durable_log.cpp
+++ b/src/storage/durable_log.cpp
@@ -20,6 +20,15 @@
 /// vote or some entries.
 constexpr std::size_t WriteProbeBytes = std::size_t{16} * 1024;
 
+/// Drops the entries before `Index`, which the snapshot covers.
+void dropEntriesBefore(std::uint64_t Index,
+                       std::vector<consensus::log_entry> &Entries) {
+  const auto FirstKept =
+      std::find_if(Entries.begin(), Entries.end(),
+                   [Index](const auto &Entry) { return Entry.Index >= Index; });
+  Entries.erase(Entries.begin(), FirstKept);
+}
+
 } // namespace
 
 /// State of an open data directory.
@@ -87,7 +96,7 @@
   BOOST_OUTCOME_TRY(makeDirectories());
   BOOST_OUTCOME_TRY(Hard, readHardState(Files, Directory));
   BOOST_OUTCOME_TRY(Snapshot, readSnapshot(Files, Directory));
-  BOOST_OUTCOME_TRY(Entries, Log.open(Opened.TornBytes));
+  BOOST_OUTCOME_TRY(Entries, Log.open(0, Opened.TornBytes));
   const bool HasState = Snapshot || Entries.size() > 1 ||
                         (Hard && (Hard->Term > 1 || Hard->VotedFor));
   if (HasState) {
@@ -123,17 +132,18 @@
   State.HardState = *Hard;
   BOOST_OUTCOME_TRY(Snapshot, readSnapshot(Files, Directory));
   State.Snapshot = std::move(Snapshot);
-  BOOST_OUTCOME_TRY(Entries, Log.open(Opened.TornBytes));
+  SnapshotIndex = State.Snapshot ? State.Snapshot->Meta.Index : 0;
+  BOOST_OUTCOME_TRY(Entries, Log.open(SnapshotIndex, Opened.TornBytes));
   State.Entries = std::move(Entries);
   // A rename before the restart may not be durable yet.
   BOOST_OUTCOME_TRY(syncDirectory(Files, Directory));
   BOOST_OUTCOME_TRY(syncDirectory(Files, Directory + "/" + SnapshotName));
-  SnapshotIndex = State.Snapshot ? State.Snapshot->Meta.Index : 0;
   BOOST_OUTCOME_TRY(Continues, logExtendsSnapshot(State));
   if (!Continues) {
     State.Entries.clear();
     BOOST_OUTCOME_TRY(Log.clear());
   }
+  dropEntriesBefore(SnapshotIndex, State.Entries);
   return outcome::success();
 }
 
--- a/src/storage/segment_log.cpp
+++ b/src/storage/segment_log.cpp
@@ -23,8 +23,16 @@
 } // namespace
 
 storage_result<std::vector<consensus::log_entry>>
-segment_log::open(std::uint64_t &TornBytes) {
+segment_log::open(std::uint64_t SnapshotIndex, std::uint64_t &TornBytes) {
   BOOST_OUTCOME_TRY(Names, listDirectory(*Files, Directory));
+  while (Names.size() > 1) {
+    const auto NextFirst = parseNumberedName(Names[1], SegmentSuffix);
+    if (!NextFirst || *NextFirst > SnapshotIndex) {
+      break;
+    }
+    BOOST_OUTCOME_TRY(removeSegment(Directory + "/" + Names.front()));
+    Names.erase(Names.begin());
+  }
   std::vector<consensus::log_entry> Entries;
   for (const auto &Name : Names) {
     BOOST_OUTCOME_TRY(
@@ -144,6 +152,11 @@
          std::string(SegmentSuffix);
 }
 
+storage_result<void> segment_log::removeSegment(const std::string &Path) {
+  BOOST_OUTCOME_TRY(removeFile(*Files, Path));
+  return syncDirectory(*Files, Directory);
+}
+
 storage_result<void>
 segment_log::readSegment(const std::string &Name, bool IsLast,
                          std::vector<consensus::log_entry> &Entries,
--- a/src/storage/segment_log.h
+++ b/src/storage/segment_log.h
@@ -41,9 +41,12 @@
       : Files(&Files), Directory(std::move(Directory)),
         SegmentBytes(SegmentBytes) {}
 
-  /// Reads all segments. Removes a torn tail and adds its size to `TornBytes`.
+  /// Reads the segments from the one that holds the entry at `SnapshotIndex`
+  /// on, and removes those before it unread: a log that is larger than the
+  /// memory of this process can still be opened. Removes a torn tail and adds
+  /// its size to `TornBytes`.
   [[nodiscard]] storage_result<std::vector<consensus::log_entry>>
-  open(std::uint64_t &TornBytes);
+  open(std::uint64_t SnapshotIndex, std::uint64_t &TornBytes);
 
   /// Index that the next appended entry must have, or zero if any is allowed.
   [[nodiscard]] std::uint64_t endIndex() const noexcept {
@@ -78,6 +81,7 @@
 
 private:
   [[nodiscard]] std::string path(std::uint64_t FirstIndex) const;
+  [[nodiscard]] storage_result<void> removeSegment(const std::string &Path);
   [[nodiscard]] storage_result<void>
   readSegment(const std::string &Name, bool IsLast,
               std::vector<consensus::log_entry> &Entries,
--- a/tests/consensus/test_replication.cpp
+++ b/tests/consensus/test_replication.cpp
@@ -100,15 +100,62 @@
   CHECK(Node.receive(2, 3, append_reply{}).MessagesAfterSync.empty());
 }
 
-// Guards against unbounded traffic to a slow peer.
+// Guards against unbounded traffic to a slow peer, in messages and in bytes.
 TEST_CASE("appends in flight are limited") {
-  single_node Node;
-  Node.winElectionAndCommit();
-  std::size_t Sent = 0;
-  for (int Batch = 0; Batch < 100; ++Batch) {
-    Sent += Node.step(proposal_batch{{"x"}}).MessagesBeforeSync.size();
+  struct row {
+    const char *Name;
+    std::size_t PayloadBytes;
+    std::size_t Sent;
+  };
+  const row Rows[] = {
+      {"small entries", 1, MaxAppendsInFlight},
+      {"entries of a quarter of the byte limit", MaxBytesInFlight / 4, 4},
+      {"an entry above the byte limit", MaxBytesInFlight + 1, 1},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    single_node Node;
+    Node.winElectionAndCommit();
+    std::size_t Sent = 0;
+    for (int Batch = 0; Batch < 100; ++Batch) {
+      Sent += Node.step(proposal_batch{{std::string(Row.PayloadBytes, 'x')}})
+                  .MessagesBeforeSync.size();
+    }
+    CHECK(Sent == Row.Sent);
+  }
+}
+
+// Guards against entries that are kept by number alone: entries that hold whole
+// configurations then fill the memory long before the number is reached.
+TEST_CASE("the entries kept below a snapshot are bounded in bytes") {
+  struct row {
+    const char *Name;
+    std::size_t PayloadBytes;
+    std::uint64_t Kept;
+  };
+  const row Rows[] = {
+      {"small entries", 1, 100},
+      {"entries of an eighth of the limit", DefaultTrailingBytes / 8, 8},
+      {"entries above the limit", DefaultTrailingBytes + 1, 0},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Name);
+    single_node Leader;
+    Leader.winElectionAndCommit();
+    const auto First = Leader.status().LastIndex + 1;
+    for (int I = 0; I < 100; ++I) {
+      const auto Out =
+          Leader.step(proposal_batch{{std::string(Row.PayloadBytes, 'x')}});
+      (void)Leader.sync(Out);
+      (void)Leader.accept(2, Out.AcceptedRange->LastIndex);
+    }
+    const auto Last = Leader.status().CommitIndex;
+    REQUIRE(Last == First + 99);
+    const auto Data = std::make_shared<const std::string>("state");
+    (void)Leader.step(snapshot_saved{Last, Data});
+    const auto FirstKept = std::max(Leader.status().FirstIndex, First);
+    CHECK(Last + 1 - FirstKept == Row.Kept);
   }
-  CHECK(Sent == MaxAppendsInFlight);
 }
 
 // Guards against a change of two voters at once, which could leave disjoint
--- a/tests/control/test_voter.cpp
+++ b/tests/control/test_voter.cpp
@@ -41,47 +41,29 @@
 /// discovery, the leader waits for a list of instances.
 class voter_group {
 public:
-  explicit voter_group(bool WithDiscovery = false) {
+  explicit voter_group(bool WithDiscovery = false,
+                       settings::limit_settings Limits = {})
+      : WithDiscovery(WithDiscovery), Limits(Limits) {
     std::string Pattern =
         (std::filesystem::temp_directory_path() / "voters-XXXXXX").string();
     Folder = ::mkdtemp(Pattern.data());
     for (std::uint32_t Id = 1; Id <= Voters; ++Id) {
-      settings::settings Settings;
-      Settings.Node.Id = node_id{Id};
-      Settings.Node.IsControl = true;
-      Settings.Node.DataDirectory = Folder / std::to_string(Id);
-      if (WithDiscovery) {
-        Settings.Discovery.Server = {"127.0.0.1", 9};
-      }
-      for (std::uint32_t Other = 1; Other <= Voters; ++Other) {
-        Settings.Fleet.InitialVoters.push_back({node_id{Other}, {}});
-      }
-      REQUIRE(initializeVoterDirectory(Settings).has_value());
-      auto Started = voter::start(
-          Settings,
-          [this, Id](node_id To, net::message_kind Kind,
-                     const std::string &Payload) {
-            deliver(node_id{Id}, To, Kind, Payload);
-          },
-          limitedFiles(DiskFull[Id - 1]));
-      REQUIRE(Started.has_value());
-      const std::lock_guard Lock(Mutex);
-      Group[node_id{Id}] = std::move(Started.value());
+      REQUIRE(initializeVoterDirectory(settingsOf(Id)).has_value());
     }
+    startAll();
   }
 
   ~voter_group() {
-    // The voters are destroyed without the lock, because their threads may
-    // wait for it in `deliver`.
-    std::map<node_id, std::unique_ptr<voter>> Ending;
-    {
-      const std::lock_guard Lock(Mutex);
-      Ending.swap(Group);
-    }
-    Ending.clear();
+    stopAll();
     std::filesystem::remove_all(Folder);
   }
 
+  /// Ends all voters and starts them again from their data directories.
+  void restartAll() {
+    stopAll();
+    startAll();
+  }
+
   voter_group(const voter_group &) = delete;
   voter_group &operator=(const voter_group &) = delete;
 
@@ -117,6 +99,47 @@
   std::atomic<std::uint64_t> NodesVersion{0};
 
 private:
+  [[nodiscard]] settings::settings settingsOf(std::uint32_t Id) const {
+    settings::settings Settings;
+    Settings.Node.Id = node_id{Id};
+    Settings.Node.IsControl = true;
+    Settings.Node.DataDirectory = Folder / std::to_string(Id);
+    Settings.Limits = Limits;
+    if (WithDiscovery) {
+      Settings.Discovery.Server = {"127.0.0.1", 9};
+    }
+    for (std::uint32_t Other = 1; Other <= Voters; ++Other) {
+      Settings.Fleet.InitialVoters.push_back({node_id{Other}, {}});
+    }
+    return Settings;
+  }
+
+  void startAll() {
+    for (std::uint32_t Id = 1; Id <= Voters; ++Id) {
+      auto Started = voter::start(
+          settingsOf(Id),
+          [this, Id](node_id To, net::message_kind Kind,
+                     const std::string &Payload) {
+            deliver(node_id{Id}, To, Kind, Payload);
+          },
+          limitedFiles(DiskFull[Id - 1]));
+      REQUIRE(Started.has_value());
+      const std::lock_guard Lock(Mutex);
+      Group[node_id{Id}] = std::move(Started.value());
+    }
+  }
+
+  void stopAll() {
+    // The voters are destroyed without the lock, because their threads may
+    // wait for it in `deliver`.
+    std::map<node_id, std::unique_ptr<voter>> Ending;
+    {
+      const std::lock_guard Lock(Mutex);
+      Ending.swap(Group);
+    }
+    Ending.clear();
+  }
+
   void deliver(node_id From, node_id To, net::message_kind Kind,
                const std::string &Payload) {
     if (To == Client) {
@@ -144,6 +167,8 @@
     }
   }
 
+  bool WithDiscovery;
+  settings::limit_settings Limits;
   std::filesystem::path Folder;
   std::mutex Mutex;
   std::map<node_id, std::unique_ptr<voter>> Group;
@@ -169,6 +194,20 @@
   return encode(Call);
 }
 
+/// A configuration of at least `Bytes`.
+std::string configRequest(std::uint64_t Version, std::size_t Bytes) {
+  api_request_message Call;
+  Call.Number = Version;
+  Call.Method = "PUT";
+  Call.Target = "/api/v1/configuration";
+  Call.Body = nlohmann::json({{"version", Version},
+                              {"routes", nlohmann::json::array()},
+                              {"services", nlohmann::json::array()},
+                              {"document", std::string(Bytes, 'x')}})
+                  .dump();
+  return encode(Call);
+}
+
 /// Repeats `Call` until `Condition` holds. Returns false after 30 s.
 template <class F, class C> bool repeatUntil(F Call, C Condition) {
   const auto Deadline = monotonic_clock::now() + 30s;
@@ -284,3 +323,39 @@
                         }));
   }
 }
+
+// Guards against a log that is bounded by its number of entries only. Entries
+// hold whole configurations, so that hundreds of changes filled the memory of a
+// small VM, and a restart, which reads the log, needed more than there was.
+TEST_CASE(
+    "the log stays within its share of memory over changes and restarts") {
+  settings::limit_settings Limits;
+  Limits.MemoryMegabytes = 16;
+  constexpr std::uint64_t ShareBytes = 16'000'000 / 8;
+  constexpr std::size_t ConfigBytes = 20'000;
+  constexpr std::uint64_t ChangesPerRun = 3 * ShareBytes / ConfigBytes / 2;
+  voter_group Group(false, Limits);
+  std::uint64_t Version = 0;
+  for (int Run = 0; Run < 2; ++Run) {
+    CAPTURE(Run);
+    for (std::uint64_t I = 0; I < ChangesPerRun; ++I) {
+      const int Replies = Group.Replies;
+      ++Version;
+      REQUIRE(repeatUntil(
+          [&] {
+            Group.send(net::message_kind::ApiRequest,
+                       configRequest(Version, ConfigBytes));
+          },
+          [&] { return Group.Replies > Replies; }));
+    }
+    for (std::uint32_t Id = 1; Id <= Voters; ++Id) {
+      CAPTURE(Id);
+      CHECK(Group.statusOf(Id).LogBytes <= ShareBytes);
+    }
+    Group.restartAll();
+    for (std::uint32_t Id = 1; Id <= Voters; ++Id) {
+      CAPTURE(Id);
+      CHECK(Group.statusOf(Id).LogBytes <= ShareBytes);
+    }
+  }
+}
--- a/tests/storage/test_durable_log.cpp
+++ b/tests/storage/test_durable_log.cpp
@@ -400,3 +400,30 @@
   }
   std::filesystem::remove_all(Directory);
 }
+
+// Guards against a voter that needs more memory to start than to run: it read
+// every entry that was still on disk, also those that its snapshot covers. A
+// log that has grown too large would otherwise never be opened again.
+TEST_CASE("a log is read from its snapshot on") {
+  constexpr std::size_t SegmentBytes = 1'000;
+  for (const std::uint64_t SnapshotIndex : {50, 51, 99, 100}) {
+    CAPTURE(SnapshotIndex);
+    memory_files Files;
+    {
+      auto First = reopen(Files, true, SegmentBytes);
+      for (std::uint64_t Index = 2; Index <= 100; ++Index) {
+        REQUIRE(First.Log.write(appends(entries(Index, Index, 1))));
+        REQUIRE(First.Log.sync());
+      }
+      REQUIRE(First.Log.saveSnapshot(snapshotAt(SnapshotIndex, 1)));
+    }
+    Files.content(LogFile) = "not to be read";
+    const auto Again = reopen(Files, false, SegmentBytes);
+    CHECK_FALSE(Files.exists(LogFile));
+    REQUIRE_FALSE(Again.Recovered.Entries.empty());
+    CHECK(Again.Recovered.Entries.front().Index == SnapshotIndex);
+    CHECK(Again.Recovered.Entries.back().Index == 100);
+    CHECK(Again.Log.logBytes() <=
+          (100 - SnapshotIndex) * 80 + 2 * SegmentBytes);
+  }
+}
