Number requests between nodes so that a restarted process shares none

Cause: resend_table numbered the requests of each process from 1, and a reply names its request by this number alone. A reply to the earlier process of a node (sent seconds later, once its entry was committed) named a number that the new process was waiting for too, and was taken for its answer. Operators' calls and claims use this table; slot requests began above earlier ones by the wall clock, which may step back.

Change: one sequence start for all three (net::randomSequenceStart). It is random, so that it depends on no clock. Replies carry the same fields as before: a voter of an earlier version returns the number as it is, so that the fault is gone as soon as the node that asks runs this version.

Why it works: a number of an earlier process is not in the table of the new one, and extract takes only numbers that are.

Ruled out: naming the incarnation in each reply. Voters of an earlier version would leave it out, and a node would have to choose between the fault and no answers during an upgrade; an incarnation is a wall clock and repeats after a step.

--- a/src/net/resend_table.h
+++ b/src/net/resend_table.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_NET_RESEND_TABLE_H
 
 #include "base/clock.h"
+#include "net/request_numbers.h"
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -32,7 +33,8 @@
   resend_table &operator=(const resend_table &) = delete;
   ~resend_table() = default;
 
-  /// Sends a message at once. Returns its number, which the answer names.
+  /// Sends a message at once. Returns its number, which the answer names and
+  /// which no other process of this node uses.
   std::uint64_t add(Message Content, instant Deadline) {
     const std::uint64_t Number = ++LastNumber;
     Send(Number, Content);
@@ -95,7 +97,7 @@
   std::chrono::milliseconds Period;
   send_function Send;
   expire_function Expire;
-  std::uint64_t LastNumber = 0;
+  std::uint64_t LastNumber = randomSequenceStart();
   std::map<std::uint64_t, entry> Open;
   bool Armed = false;
 };
--- a/src/traffic/slot_allocator.cpp
+++ b/src/traffic/slot_allocator.cpp
@@ -88,10 +88,10 @@
 
 slot_allocator::slot_allocator(
     asio::io_context &Io, const rcu_snapshot<router::routing_state> &Routing,
-    node_id Self, std::uint64_t Seed, std::uint64_t FirstRequestNumber,
+    node_id Self, std::uint64_t Seed, std::uint64_t SequenceStart,
     send_function Send)
     : Io(Io), Routing(Routing), CheckTimer(Io), SnapshotTimer(Io), Self(Self),
-      Seed(Seed), LastNumber(FirstRequestNumber), Send(std::move(Send)),
+      Seed(Seed), LastNumber(SequenceStart), Send(std::move(Send)),
       CellHost(Seed, [this](node_id To, const slot_reply_message &Reply) {
         sendMessage(To, net::message_kind::SlotReply, encode(Reply));
       }) {
--- a/src/traffic/slot_allocator.h
+++ b/src/traffic/slot_allocator.h
@@ -60,12 +60,12 @@
   using send_function = std::function<void(node_id To, net::message_kind Kind,
                                            const std::string &Payload)>;
 
-  /// `FirstRequestNumber` must be larger than all request numbers of earlier
-  /// incarnations of this router.
+  /// Request numbers follow `SequenceStart`. Other processes of this router
+  /// must not use them, because replies name only the number.
   slot_allocator(asio::io_context &Io,
                  const rcu_snapshot<router::routing_state> &Routing,
-                 node_id Self, std::uint64_t Seed,
-                 std::uint64_t FirstRequestNumber, send_function Send);
+                 node_id Self, std::uint64_t Seed, std::uint64_t SequenceStart,
+                 send_function Send);
   slot_allocator(const slot_allocator &) = delete;
   slot_allocator &operator=(const slot_allocator &) = delete;
 
--- a/src/traffic/traffic_shard.h
+++ b/src/traffic/traffic_shard.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_TRAFFIC_TRAFFIC_SHARD_H
 
 #include "base/digest.h"
+#include "net/request_numbers.h"
 #include "router/router_context.h"
 #include "router/shard.h"
 #include "traffic/platform_codec.h"
@@ -16,14 +17,6 @@
 
 struct traffic_request;
 
-/// First request number of this incarnation. Numbers grow across the
-/// incarnations of a router: the ranges of two incarnations are about a million
-/// numbers apart per millisecond between their starts.
-[[nodiscard]] inline std::uint64_t
-firstRequestNumber(const router::router_context &Context) noexcept {
-  return number(Context.Incarnation.load()) << 20U;
-}
-
 /// State of one I/O thread for requests that are routed by host and path.
 struct traffic_shard {
   traffic_shard(router::router_context &Context, router::shard &Shard,
@@ -31,7 +24,7 @@
                 slot_allocator::send_function Send)
       : Context(Context), Shard(Shard), Codec(Codec), Retries(Retries),
         Slots(Shard.Io, Context.Routing, Context.Node, hash64(Context.NodeName),
-              firstRequestNumber(Context), std::move(Send)) {}
+              net::randomSequenceStart(), std::move(Send)) {}
 
   router::router_context &Context;
   router::shard &Shard;
