Refuse orders on failure domains that a newer one has overtaken

Cause: an order that takes a failure domain out of service or back has no version, and the store carries out whatever arrives last.

Change: the leader's heartbeat replies carry its monotonic clock, so that each router knows a lower bound of it (leader_clock). A router stamps an order with that bound at its arrival, and dates what it reads within 1 s after a stall of its event loop back to the beginning of the stall (stall_detector). The leader (domain_order_filter) carries an order out only if it arrived after the last order on that domain was carried out and after this leader began to lead, while its router still waits, and one at a time. A repeat of the order in force is acknowledged again, whatever its age; any other gets 503 and a line order_refused, so that its operator sends it again.

Why it works: an operator sends an order once the one before was acknowledged, so an order that had arrived before the last one was carried out is the older of the two. Link queues, resends, elections and frozen processes all delay an order after its stamp; only the bytes of a caller on a cut link arrive before it.

Tests that fail before: "a held up order leaves the newest acknowledged one in force" (with the new message fields only, 200 in place of 503 and the domain is in use). Old versions: a router without stamps is served as before; an old leader ignores them.

--- a/src/control/gateway.cpp
+++ b/src/control/gateway.cpp
@@ -122,15 +122,19 @@
     Exchange->respond(std::move(*Response));
     return;
   }
-  const instant Arrived = monotonic_clock::now();
+  const instant ReadAt = monotonic_clock::now();
+  auto AdminRequest = std::get<router::admin_request>(std::move(Parsed));
+  AdminRequest.ReceivedAt = Shard.Stalls.earliestArrival(ReadAt);
+  const duration Waited = ReadAt - AdminRequest.ReceivedAt;
   Hooks.ForwardToLeader(
-      std::get<router::admin_request>(std::move(Parsed)), Shard,
-      [this, Exchange, Arrived](const router::admin_response &Response) {
+      std::move(AdminRequest), Shard,
+      [this, Exchange, ReadAt, Waited](const router::admin_response &Response) {
         logEvent(log_level::Info, "order_answered",
                  {{"method", Exchange->request().Method},
                   {"target", Exchange->request().Target},
                   {"status", Response.Status},
-                  {"duration_us", toMicros(monotonic_clock::now() - Arrived)}});
+                  {"stalled_us", toMicros(Waited)},
+                  {"duration_us", toMicros(monotonic_clock::now() - ReadAt)}});
         Exchange->respond(
             Adapter.MakeAdminResponse(Exchange->request(), Response));
       });
--- a/src/control/leader_channel.cpp
+++ b/src/control/leader_channel.cpp
@@ -19,16 +19,16 @@
                                    const pending_request &Pending) {
             auto Request = Pending.Request;
             Request.Number = Number;
-            Send(Request);
+            Send(std::move(Request), Pending.Times);
           },
           [](const pending_request &Pending) {
             Pending.Callback(std::nullopt);
           }) {}
 
-void leader_channel::call(api_request_message Request, duration Timeout,
-                          callback Callback) {
-  PendingRequests.add({std::move(Request), std::move(Callback)},
-                      monotonic_clock::now() + Timeout);
+void leader_channel::call(api_request_message Request,
+                          const request_times &Times, callback Callback) {
+  PendingRequests.add({std::move(Request), Times, std::move(Callback)},
+                      Times.Deadline);
 }
 
 void leader_channel::onReply(const api_reply_message &Reply) {
--- a/src/control/leader_duties.cpp
+++ b/src/control/leader_duties.cpp
@@ -69,6 +69,7 @@
       Sessions.onHeartbeat(SessionHeartbeat, Now);
   Reply.FromLeader = true;
   Reply.Term = Term;
+  Reply.LeaderTimeUs = toMicros(Now);
   Reply.CommittedRevision = number(Store.currentRevision());
   Reply.LastEndedIncarnation = number(Lease.LastEndedIncarnation);
   if (Lease.Outcome == membership::lease_outcome::Granted) {
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -76,10 +76,13 @@
   /// complete.
   std::vector<std::uint32_t> ControlNodes;
   router::crash_suspicions Suspicions;
+  /// The leader's monotonic clock; 0 if the sender does not lead or runs an
+  /// earlier version.
+  std::int64_t LeaderTimeUs = 0;
 
   MSGPACK_DEFINE(FromLeader, LeaderHint, Term, CommittedRevision, SendTimeUs,
                  LeaseUs, LastEndedIncarnation, HasNodes, NodesVersion, Nodes,
-                 ControlNodes, Suspicions)
+                 ControlNodes, Suspicions, LeaderTimeUs)
 };
 
 /// `claim_request`: a router sends a store command to the leader.
@@ -106,8 +109,16 @@
   std::string Body;
   /// Request id of the operator. A resend carries the same id.
   std::string RequestId;
+  /// Term of the leader whose clock the following times are of; 0 if the sender
+  /// does not know it or runs an earlier version.
+  std::uint64_t Term = 0;
+  /// Not later than the request arrived at the sender.
+  std::int64_t ReceivedAtUs = 0;
+  /// When the sender stops waiting for the reply.
+  std::int64_t DeadlineUs = 0;
 
-  MSGPACK_DEFINE(Number, Method, Target, Body, RequestId)
+  MSGPACK_DEFINE(Number, Method, Target, Body, RequestId, Term, ReceivedAtUs,
+                 DeadlineUs)
 };
 
 /// `api_reply`: the leader's response to an admin request.
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -42,8 +42,8 @@
       OnNodes(std::move(OnNodes)), OnIncarnation(std::move(OnIncarnation)),
       HeartbeatTimer(Io), ReportTimer(Io), ExpiryTimer(Io),
       Leader(Io,
-             [this](const api_request_message &Request) {
-               sendToLeader(net::message_kind::ApiRequest, encode(Request));
+             [this](api_request_message Request, const request_times &Times) {
+               sendAdminRequest(std::move(Request), Times);
              }),
       Pools(Io, Settings.Node.Id,
             [this](node_id To, pool_id Pool, const pool::pool_grant &Grant) {
@@ -246,6 +246,9 @@
   LeaderTerm = Reply.Term;
   LeaderNode = From;
   LastLeaderReply = Now;
+  if (Reply.LeaderTimeUs != 0) {
+    LeaderClock.onReply(Reply.Term, instantFromMicros(Reply.LeaderTimeUs), Now);
+  }
   if (number(Context->Incarnation.load()) <= Reply.LastEndedIncarnation) {
     renewIncarnation(incarnation{Reply.LastEndedIncarnation});
     return;
@@ -332,6 +335,16 @@
   heartbeat();
 }
 
+void node_agent::sendAdminRequest(api_request_message Request,
+                                  const request_times &Times) {
+  Request.Term = LeaderClock.term();
+  if (Request.Term != 0) {
+    Request.ReceivedAtUs = toMicros(LeaderClock.atLeast(Times.ReceivedAt));
+    Request.DeadlineUs = toMicros(LeaderClock.atLeast(Times.Deadline));
+  }
+  sendToLeader(net::message_kind::ApiRequest, encode(Request));
+}
+
 void node_agent::sendToLeader(net::message_kind Kind,
                               const std::string &Payload) {
   const instant Now = monotonic_clock::now();
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -3,6 +3,7 @@
 
 #include "consensus/cluster_membership.h"
 #include "control/leader_channel.h"
+#include "control/leader_clock.h"
 #include "control/messages.h"
 #include "control/pool_host.h"
 #include "net/message_kind.h"
@@ -80,6 +81,8 @@
   void applyLiveNodes(const heartbeat_reply_message &Reply);
   void onConfigUpdate(const store::config_update &Update);
   void renewIncarnation(incarnation LastEnded);
+  void sendAdminRequest(api_request_message Request,
+                        const request_times &Times);
   void sendToLeader(net::message_kind Kind, const std::string &Payload);
 
   const settings::settings &Settings;
@@ -103,6 +106,7 @@
   std::optional<node_id> LeaderNode;
   instant LastLeaderReply;
   std::uint64_t LeaderTerm = 0;
+  leader_clock LeaderClock;
   std::uint64_t NodesTerm = 0;
   std::uint64_t NodesVersion = 0;
   bool Draining = false;
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -280,6 +280,7 @@
     Threads.push_back(std::move(Thread));
   }
   for (const auto &Thread : Threads) {
+    Thread->Shard.Stalls.start();
     Thread->Thread = std::thread([&Io = Thread->Shard.Io] { Io.run(); });
   }
   return true;
@@ -372,9 +373,10 @@
     Message.Target = std::move(Request.Target);
     Message.Body = std::move(Request.Body);
     Message.RequestId = std::move(Request.RequestId);
-    const duration Timeout = Request.Timeout;
+    const request_times Times{Request.ReceivedAt,
+                              Request.ReceivedAt + Request.Timeout};
     Agent.leader().call(
-        std::move(Message), Timeout,
+        std::move(Message), Times,
         [&Shard, Callback = std::move(Callback)](
             const std::optional<api_reply_message> &Reply) {
           router::admin_response Response;
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -3,6 +3,7 @@
 #include "base/codec.h"
 #include "base/log.h"
 #include "consensus/consensus.h"
+#include "control/domain_order_filter.h"
 #include "control/leader_duties.h"
 #include "control/resource_api.h"
 #include "control/voter_limits.h"
@@ -54,8 +55,13 @@
   bool writeOutputs(const std::vector<consensus::output> &Batch,
                     std::uint64_t &Sequence);
   void applyEntry(const consensus::log_entry &Entry);
+  [[nodiscard]] bool admitOrder(const store::set_domain_command &Order,
+                                const api_request_message &Request,
+                                command_requester &Requester, instant Now);
   void reply(const command_requester &Requester,
              const store::command_outcome &Outcome);
+  void replyToOperator(const command_requester &Requester,
+                       api_response Response);
   void saveSnapshot(instant Now);
   bool isLeading(instant Now) const;
   void publishStatus(instant Now);
@@ -76,6 +82,7 @@
   consensus::raft_node Raft;
   store::state_machine Store;
   leader_duties Duties;
+  domain_order_filter Orders;
   std::uint64_t AppliedIndex = 0;
   std::uint64_t SnapshotIndex = 0;
   /// Payload bytes of the entries applied since the latest snapshot.
@@ -187,6 +194,7 @@
   QueuedBytes = 0;
   ProposedEntries.clear();
   Duties.endTerm();
+  Orders.reset();
   Raft =
       consensus::raft_node(raftOptions(), std::move(Opened.value().Recovered),
                            std::mt19937_64(std::random_device{}()), Now);
@@ -232,6 +240,11 @@
     processOutputs(Now);
     // The leader lease may have expired during a sync.
     Now = monotonic_clock::now();
+    if (isLeading(Now)) {
+      Orders.lead(Raft.status().Term, Now);
+    } else {
+      Orders.reset();
+    }
     for (const auto &Frame : Frames) {
       if (Frame.Kind != net::message_kind::Raft) {
         handleFrame(Frame, Now);
@@ -307,8 +320,12 @@
   if (Command.has_value()) {
     QueuedBytes += Frame.Payload.size();
     Queue.push_back({std::move(Command.value()),
-                     {command_requester::kind::Router, Frame.From,
-                      Message.value().Number, instant{}}});
+                     {command_requester::kind::Router,
+                      Frame.From,
+                      Message.value().Number,
+                      instant{},
+                      {},
+                      0}});
   }
 }
 
@@ -318,18 +335,63 @@
     return; // The sender resends it to the leader.
   }
   auto Plan = planAdminRequest(Request.value(), Store, Duties.liveNodes());
-  const command_requester Requester{command_requester::kind::Operator,
-                                    Frame.From, Request.value().Number,
-                                    instant{}};
+  command_requester Requester{command_requester::kind::Operator,
+                              Frame.From,
+                              Request.value().Number,
+                              instant{},
+                              {},
+                              0};
   if (Plan.Command) {
+    const auto *Order =
+        std::get_if<store::set_domain_command>(&Plan.Command->Value);
+    if (Order != nullptr &&
+        !admitOrder(*Order, Request.value(), Requester, Now)) {
+      return;
+    }
     QueuedBytes += Frame.Payload.size();
     Queue.push_back({std::move(*Plan.Command), Requester});
     return;
   }
-  const api_reply_message Reply{
-      Requester.Number, static_cast<std::uint32_t>(Plan.Response.Status),
-      std::move(Plan.Response.Body)};
-  Send(Requester.Node, net::message_kind::ApiReply, encode(Reply));
+  replyToOperator(Requester, std::move(Plan.Response));
+}
+
+/// Decides whether an order on a failure domain is proposed. Otherwise it is
+/// answered here, or left to be sent again.
+bool voter::state::admitOrder(const store::set_domain_command &Order,
+                              const api_request_message &Request,
+                              command_requester &Requester, instant Now) {
+  const auto Current =
+      Store.find(store::resource_kind::FailureDomain, Order.Name);
+  const bool InForce =
+      Current && Current->as<store::failure_domain>()->State == Order.State;
+  if (InForce && !Orders.inProgress(Order.Name)) {
+    // A repeat of the order in force is acknowledged again, however old it is.
+    store::command_outcome Outcome;
+    Outcome.Code = store::outcome_code::Ok;
+    Outcome.Object = Current;
+    replyToOperator(Requester, toApiResponse(Outcome));
+    return false;
+  }
+  const order_stamp Stamp{Request.Term, instantFromMicros(Request.ReceivedAtUs),
+                          instantFromMicros(Request.DeadlineUs)};
+  const auto Verdict = Orders.judge(Order.Name, Stamp, Now);
+  if (Verdict == order_verdict::Execute) {
+    Requester.Domain = Order.Name;
+    Requester.OrderNumber = Orders.onProposed(Order.Name);
+    return true;
+  }
+  if (Verdict != order_verdict::Wait) {
+    logEvent(log_level::Info, "order_refused",
+             {{"failure_domain", Order.Name},
+              {"state", nameOf(Order.State)},
+              {"reason", nameOf(Verdict)},
+              {"peer", number(Requester.Node)},
+              {"age_us", toMicros(Now - Stamp.ReceivedAt)}});
+    replyToOperator(Requester, apiError(503, nameOf(Verdict),
+                                        "the order is too old or a newer one "
+                                        "was carried out; send it again"));
+  }
+  return false;
 }
 
 /// False while the requests that are queued or not committed yet fill their
@@ -499,15 +561,22 @@
   case command_requester::kind::Discovery:
     Duties.onInstancesStored(Requester.ReadAt, Store.currentRevision());
     return;
-  case command_requester::kind::Operator: {
-    auto Response = toApiResponse(Outcome);
-    const api_reply_message Reply{Requester.Number,
-                                  static_cast<std::uint32_t>(Response.Status),
-                                  std::move(Response.Body)};
-    Send(Requester.Node, net::message_kind::ApiReply, encode(Reply));
+  case command_requester::kind::Operator:
+    if (!Requester.Domain.empty()) {
+      Orders.onApplied(Requester.Domain, Requester.OrderNumber,
+                       monotonic_clock::now());
+    }
+    replyToOperator(Requester, toApiResponse(Outcome));
     return;
   }
-  }
+}
+
+void voter::state::replyToOperator(const command_requester &Requester,
+                                   api_response Response) {
+  const api_reply_message Reply{Requester.Number,
+                                static_cast<std::uint32_t>(Response.Status),
+                                std::move(Response.Body)};
+  Send(Requester.Node, net::message_kind::ApiReply, encode(Reply));
 }
 
 void voter::state::saveSnapshot(instant Now) {
--- a/src/control/voter_queue.h
+++ b/src/control/voter_queue.h
@@ -6,6 +6,7 @@
 #include "store/commands.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace arbutus::control {
@@ -19,6 +20,10 @@
   std::uint64_t Number = 0;
   /// Only for `Discovery`: when the read of the list began.
   instant ReadAt;
+  /// Only for an order on a failure domain: its name, and the number that
+  /// `domain_order_filter` gave the order.
+  std::string Domain;
+  std::uint64_t OrderNumber = 0;
 };
 
 /// A command that the next log entry will hold.
--- a/src/router/http_dispatch.cpp
+++ b/src/router/http_dispatch.cpp
@@ -114,8 +114,9 @@
 /// Polls the leader until it reports changes or an error, or `Until` has
 /// passed.
 void longPollChanges(const http_dispatch_hooks &Hooks, shard &Shard,
-                     const exchange_ptr &Exchange,
-                     const admin_request &AdminRequest, instant Until) {
+                     const exchange_ptr &Exchange, admin_request AdminRequest,
+                     instant Until) {
+  AdminRequest.ReceivedAt = monotonic_clock::now();
   Hooks.ForwardToLeader(
       AdminRequest, Shard,
       [&Hooks, &Shard, Exchange, AdminRequest,
@@ -154,6 +155,8 @@
     AdminRequest.RequestId = newRequestId();
   }
   AdminRequest.Body = Exchange->takeBody();
+  AdminRequest.ReceivedAt =
+      Shard.Stalls.earliestArrival(monotonic_clock::now());
   const bool IsRead = AdminRequest.Method == "GET";
   if (IsRead && net::pathOf(AdminRequest.Target) == "/api/v1/watch") {
     longPollChanges(Hooks, Shard, Exchange, AdminRequest,
--- a/src/router/http_dispatch.h
+++ b/src/router/http_dispatch.h
@@ -18,6 +18,8 @@
   std::string Target;
   std::string Body;
   std::string RequestId;
+  /// Earliest time at which the request can have arrived.
+  instant ReceivedAt;
   /// Time for the leader's response. The default of 5 s covers an election.
   duration Timeout = 5s;
 };
--- a/src/router/shard.h
+++ b/src/router/shard.h
@@ -2,6 +2,7 @@
 #define ARBUTUS_ROUTER_SHARD_H
 
 #include "net/http_client.h"
+#include "net/stall_detector.h"
 #include "router/address_ranker.h"
 #include <asio/io_context.hpp>
 
@@ -15,11 +16,12 @@
 /// One I/O thread's event loop and its upstream connections. A request stays
 /// on the shard that accepted it.
 struct shard {
-  explicit shard(int Index) : Index(Index), Io(1), Client(Io) {}
+  explicit shard(int Index) : Index(Index), Io(1), Client(Io), Stalls(Io) {}
 
   int Index;
   asio::io_context Io;
   net::http_client Client;
+  net::stall_detector Stalls;
   /// All routers use the same seed, so that each gives a caller the same order.
   address_ranker Addresses{0};
   /// Requests that started on this shard; ended ones are removed when the size
--- a/tests/control/test_late_replies.cpp
+++ b/tests/control/test_late_replies.cpp
@@ -32,7 +32,8 @@
 };
 
 struct operator_requester final : requester {
-  leader_channel Channel{Io, [this](const api_request_message &Request) {
+  leader_channel Channel{Io, [this](const api_request_message &Request,
+                                    const request_times & /*Times*/) {
                            SentNumbers.push_back(Request.Number);
                          }};
 
@@ -40,7 +41,8 @@
     api_request_message Request;
     Request.Method = "PUT";
     Request.Target = "/api/v1/configuration";
-    Channel.call(std::move(Request), 1h,
+    const instant Now = monotonic_clock::now();
+    Channel.call(std::move(Request), {Now, Now + 1h},
                  [this](const std::optional<api_reply_message> &Reply) {
                    Acknowledged = Reply.has_value();
                  });
--- a/tests/control/test_voter.cpp
+++ b/tests/control/test_voter.cpp
@@ -95,9 +95,20 @@
   std::atomic<int> LeaderReplies{0};
   /// Node lists that were sent without a heartbeat.
   std::atomic<int> UnsolicitedNodeLists{0};
+  /// Term and clock of the leader, by its latest reply.
+  std::atomic<std::uint64_t> LeaderTerm{0};
+  std::atomic<std::int64_t> LeaderTimeUs{0};
   std::atomic<std::uint64_t> NodesTerm{0};
   std::atomic<std::uint64_t> NodesVersion{0};
 
+  /// The reply to the client's request with this number, if it has come.
+  [[nodiscard]] std::optional<api_reply_message> replyTo(std::uint64_t Number) {
+    const std::lock_guard Lock(Mutex);
+    const auto Found = ReplyByNumber.find(Number);
+    return Found == ReplyByNumber.end() ? std::nullopt
+                                        : std::optional(Found->second);
+  }
+
 private:
   [[nodiscard]] settings::settings settingsOf(std::uint32_t Id) const {
     settings::settings Settings;
@@ -154,6 +165,9 @@
 
   void receive(net::message_kind Kind, const std::string &Payload) {
     if (Kind == net::message_kind::ApiReply) {
+      const auto Reply = decode<api_reply_message>(Payload).value();
+      const std::lock_guard Lock(Mutex);
+      ReplyByNumber[Reply.Number] = Reply;
       ++Replies;
     } else if (Kind == net::message_kind::HeartbeatReply) {
       const auto Reply = decode<heartbeat_reply_message>(Payload).value();
@@ -162,6 +176,10 @@
         NodesVersion = Reply.NodesVersion;
         UnsolicitedNodeLists += Reply.SendTimeUs == 0 ? 1 : 0;
       }
+      if (Reply.LeaderTimeUs != 0) {
+        LeaderTimeUs = Reply.LeaderTimeUs;
+        LeaderTerm = Reply.Term;
+      }
       Leases += Reply.LeaseUs > 0 ? 1 : 0;
       LeaderReplies += Reply.FromLeader && Reply.SendTimeUs != 0 ? 1 : 0;
     }
@@ -172,6 +190,7 @@
   std::filesystem::path Folder;
   std::mutex Mutex;
   std::map<node_id, std::unique_ptr<voter>> Group;
+  std::map<std::uint64_t, api_reply_message> ReplyByNumber;
 };
 
 std::string heartbeatFrame(const voter_group &Group) {
@@ -208,6 +227,21 @@
   return encode(Call);
 }
 
+/// An order on failure domain "z" that the client received after the latest
+/// reply of the leader.
+api_request_message domainOrder(const voter_group &Group, std::uint64_t Number,
+                                const char *State) {
+  api_request_message Order;
+  Order.Number = Number;
+  Order.Method = "PUT";
+  Order.Target = "/api/v1/domain_state/z";
+  Order.Body = nlohmann::json({{"state", State}}).dump();
+  Order.Term = Group.LeaderTerm;
+  Order.ReceivedAtUs = Group.LeaderTimeUs;
+  Order.DeadlineUs = Order.ReceivedAtUs + toMicros(1h);
+  return Order;
+}
+
 /// Repeats `Call` until `Condition` holds. Returns false after 30 s.
 template <class F, class C> bool repeatUntil(F Call, C Condition) {
   const auto Deadline = monotonic_clock::now() + 30s;
@@ -359,3 +393,49 @@
     }
   }
 }
+
+// Guards against an order that was held up on its way, for example in a frozen
+// router or a cut link, and is carried out after a newer one was acknowledged:
+// an evacuated failure domain was in use again.
+TEST_CASE("a held up order leaves the newest acknowledged one in force") {
+  voter_group Group;
+  const auto Heartbeat = [&] {
+    Group.send(net::message_kind::Heartbeat, heartbeatFrame(Group));
+  };
+  // The leader's clock is a bound that the test lets grow between two orders.
+  const auto AwaitLeaderTime = [&] {
+    const auto Before = Group.LeaderTimeUs.load();
+    REQUIRE(
+        repeatUntil(Heartbeat, [&] { return Group.LeaderTimeUs > Before; }));
+  };
+  const auto StatusOf = [&](const api_request_message &Request) {
+    REQUIRE(repeatUntil(
+        [&] {
+          Heartbeat();
+          Group.send(net::message_kind::ApiRequest, encode(Request));
+        },
+        [&] { return Group.replyTo(Request.Number).has_value(); }));
+    return Group.replyTo(Request.Number)->Status;
+  };
+  const auto Carry = [&](std::uint64_t Number, const char *State) {
+    AwaitLeaderTime();
+    return StatusOf(domainOrder(Group, Number, State));
+  };
+  REQUIRE(Carry(1, "out") == 200);
+  AwaitLeaderTime();
+  const auto HeldUp = domainOrder(Group, 2, "in");
+  REQUIRE(Carry(3, "in") == 200);
+  REQUIRE(Carry(4, "out") == 200);
+
+  CHECK(StatusOf(HeldUp) == 503);
+  api_request_message Read;
+  Read.Number = 5;
+  Read.Method = "GET";
+  Read.Target = "/api/v1/failure_domain/z";
+  CHECK(StatusOf(Read) == 200);
+  const auto Domain = nlohmann::json::parse(Group.replyTo(5)->Body);
+  CHECK(Domain["spec"]["state"] == "out");
+  // A repeat of the order in force is acknowledged, a new order is carried out.
+  CHECK(Carry(6, "out") == 200);
+  CHECK(Carry(7, "in") == 200);
+}
