Sync each removal of a log segment before the next one

After a loss of power any of the removals may be undone; if an earlier segment comes back without the one after it, the log has a gap and the voter refuses to start ("segment does not follow the one before").

The former fake brought back all names of a directory or none, so no test had seen it.

Change: each removal is synced before the next. Smaller segments would have made the fault more likely.

--- a/src/storage/segment_log.cpp
+++ b/src/storage/segment_log.cpp
@@ -131,13 +131,11 @@
 }
 
 storage_result<void> segment_log::compactThrough(std::uint64_t Index) {
-  bool Removed = false;
   while (Segments.size() > 1 && Segments.front().endIndex() <= Index + 1) {
-    BOOST_OUTCOME_TRY(removeFile(*Files, path(Segments.front().FirstIndex)));
+    BOOST_OUTCOME_TRY(removeSegment(path(Segments.front().FirstIndex)));
     Segments.erase(Segments.begin());
-    Removed = true;
   }
-  return Removed ? syncDirectory(*Files, Directory) : outcome::success();
+  return outcome::success();
 }
 
 storage_result<void> segment_log::clear() {
--- a/src/storage/segment_log.h
+++ b/src/storage/segment_log.h
@@ -81,6 +81,9 @@
 
 private:
   [[nodiscard]] std::string path(std::uint64_t FirstIndex) const;
+  /// Removes a file and syncs the removal before the next one: after a power
+  /// loss any of several unsynced removals may be undone, which would leave a
+  /// gap.
   [[nodiscard]] storage_result<void> removeSegment(const std::string &Path);
   [[nodiscard]] storage_result<void>
   readSegment(const std::string &Name, bool IsLast,
--- a/tests/storage/memory_files.h
+++ b/tests/storage/memory_files.h
@@ -89,6 +89,22 @@
   }
   void remove(const std::string &Path) { Names.erase(Path); }
 
+  /// Names that were removed and whose directory was not synced since. A power
+  /// loss may bring back any of them.
+  [[nodiscard]] std::vector<std::string> unsyncedRemovals() const {
+    std::vector<std::string> Removed;
+    for (const auto &[Name, File] : SyncedNames) {
+      if (!exists(Name)) {
+        Removed.push_back(Name);
+      }
+    }
+    return Removed;
+  }
+  /// Brings back a removed name, as a power loss may.
+  void restoreName(const std::string &Name) {
+    Names[Name] = SyncedNames.at(Name);
+  }
+
   /// Simulates a power loss: names return to their last sync, and of unsynced
   /// bytes a random part remains, which may be damaged.
   void crash(std::mt19937_64 &Random) {
--- a/tests/storage/test_durable_log.cpp
+++ b/tests/storage/test_durable_log.cpp
@@ -16,6 +16,11 @@
 
 const std::string LogFile = "/d/log/00000000000000000001.segment";
 
+std::string segmentFile(std::uint64_t FirstIndex) {
+  const auto Number = std::to_string(FirstIndex);
+  return "/d/log/" + std::string(20 - Number.size(), '0') + Number + ".segment";
+}
+
 durable_log_options optionsFor(bool Bootstrap) {
   durable_log_options Options;
   Options.Directory = "/d";
@@ -355,6 +360,48 @@
   }
 }
 
+// Guards against a power loss in the middle of a compaction: of the removed
+// segments any may come back, and a log with a gap is not opened any more.
+TEST_CASE("a power loss during a compaction leaves a log that opens") {
+  constexpr std::size_t SegmentBytes = 200;
+  const std::uint64_t Last = 20;
+  // Compacts a log whose snapshot ends where the last segment begins, until a
+  // sync fails.
+  const auto CompactUntilPowerLoss = [&](memory_files &Files) {
+    auto Opened = reopen(Files, true, SegmentBytes);
+    for (std::uint64_t Index = 2; Index <= Last; ++Index) {
+      REQUIRE(Opened.Log.write(appends(entries(Index, Index, 1))));
+      REQUIRE(Opened.Log.sync());
+    }
+    auto LastSegment = Last;
+    while (!Files.exists(segmentFile(LastSegment))) {
+      --LastSegment;
+    }
+    REQUIRE(Opened.Log.saveSnapshot(snapshotAt(LastSegment - 1, 1)));
+    disk_writes Writes;
+    Writes.CompactThrough = LastSegment - 1;
+    Files.SyncsUntilFailure = 0;
+    CHECK_FALSE(Opened.Log.write(Writes));
+    Files.SyncsUntilFailure = -1;
+  };
+  memory_files First;
+  CompactUntilPowerLoss(First);
+  const auto Removed = First.unsyncedRemovals().size();
+  REQUIRE(Removed >= 1);
+  for (std::size_t Subset = 0; Subset < std::size_t{1} << Removed; ++Subset) {
+    CAPTURE(Subset);
+    memory_files Files;
+    CompactUntilPowerLoss(Files);
+    const auto Names = Files.unsyncedRemovals();
+    for (std::size_t I = 0; I < Names.size(); ++I) {
+      if ((Subset >> I & 1U) != 0) {
+        Files.restoreName(Names[I]);
+      }
+    }
+    CHECK(lastIndex(reopen(Files, false, SegmentBytes)) == Last);
+  }
+}
+
 // Guards against a restart after many writes that loses or repeats entries,
 // with the real file system.
 TEST_CASE("10,000 entries survive a restart with and without a snapshot") {
