Take no lease that was granted to an earlier process of the node

A heartbeat reply names its heartbeat by the send time only. Replies that are queued for a node while it restarts grant the new process a lease of up to 2.8 s for the configuration that the earlier process had in force; after a restart of the VM, whose monotonic clock begins anew, the lease would last until the earlier uptime is reached.

Evidence: "a lease of an earlier process of the node is not taken" fails before this change.

Change: a reply to a heartbeat that was sent before this process started, or in the future, grants nothing. Replies of consensus are ruled out: they carry the term, and a restarted leader has another one.

--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -267,6 +267,13 @@
   if (Reply.LeaseUs == 0 || Reply.SendTimeUs == 0) {
     return;
   }
+  // A late reply to an earlier process of this node grants a lease for the
+  // configuration that the earlier process had. After a restart of the VM its
+  // times are even in the future.
+  const instant SentAt = instantFromMicros(Reply.SendTimeUs);
+  if (SentAt < StartedAt || SentAt > monotonic_clock::now()) {
+    return;
+  }
   const std::int64_t LeaseEndUs = Reply.SendTimeUs + Reply.LeaseUs;
   if (LeaseEndUs <= Context->LeaseUntilUs.load()) {
     return;
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -86,6 +86,7 @@
   void sendToLeader(net::message_kind Kind, const std::string &Payload);
 
   const settings::settings &Settings;
+  const instant StartedAt = monotonic_clock::now();
   send_function Send;
   nodes_function OnNodes;
   incarnation_function OnIncarnation;
