Bound what a router keeps of answers without end, over all calls

From the reports of other operators: a faulty worker sends bytes without end, the machine that called it keeps them and runs out of memory, and the requests of other clients there end with it. Can it happen here: yes.

Cause: each answer was bounded (4 MiB of body, 80 KB of head by the parser), their sum was not. A worker that takes 64 requests at once can make a router keep 64 times that, on VMs with 110 MB. A head of small fields also takes some ten times its bytes.

Change: the bodies that an I/O thread keeps share an eighth of limits.memory_mb (16 MiB without it); the first 16 KiB of each need no share, so that short answers of sound workers are still served while it is used up. A call that finds no room ends like one whose answer is too long. A head has at most 200 fields and 64 KiB.

Ruled out: framing, chunk sizes, interim and stray answers (bounded a call, not kept); events (256 KiB a stream); answers of the platform's list and of load reports (bounded pages, one call at a time).

--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -41,9 +41,26 @@
 /// The process exits this long before the termination grace period ends.
 constexpr duration TerminationMargin = 600ms;
 
+/// The answers that all I/O threads keep take at most this fraction of the
+/// memory.
+constexpr std::size_t AnswerMemoryFraction = 8;
+constexpr std::size_t BytesPerMegabyte = 1'000'000;
+
+/// Memory for the answers that one I/O thread keeps.
+std::size_t answerMemoryBytes(const settings::settings &Settings) {
+  if (Settings.Limits.MemoryMegabytes == 0) {
+    return router::DefaultAnswerMemoryBytes;
+  }
+  const auto Threads = static_cast<std::size_t>(Settings.Listen.Threads);
+  return std::min(router::DefaultAnswerMemoryBytes,
+                  Settings.Limits.MemoryMegabytes * BytesPerMegabyte /
+                      AnswerMemoryFraction / Threads);
+}
+
 /// An I/O thread with its listeners.
 struct io_thread {
-  explicit io_thread(int Index) : Shard(Index), Work(Shard.Io.get_executor()) {}
+  io_thread(int Index, std::size_t AnswerMemoryBytes)
+      : Shard(Index, AnswerMemoryBytes), Work(Shard.Io.get_executor()) {}
 
   router::shard Shard;
   work_guard Work;
@@ -254,7 +271,7 @@
   Options.HardBodyLimit = HardLimitFactor * Settings.Limits.BodyBytes;
   Options.HardHeaderFieldLimit = HardLimitFactor * Settings.Limits.HeaderBytes;
   for (int I = 0; I < Settings.Listen.Threads; ++I) {
-    auto Thread = std::make_unique<io_thread>(I);
+    auto Thread = std::make_unique<io_thread>(I, answerMemoryBytes(Settings));
     auto &Shard = Thread->Shard;
     try {
       Thread->Server = std::make_unique<net::http_server>(
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -25,6 +25,10 @@
 /// answers to other calls, chunk sizes and trailers. A faulty server may send
 /// these without end.
 constexpr std::size_t MaxFramingBytes = std::size_t{256} << 10U;
+/// Bytes and fields of one head with its trailers. They are kept until the
+/// answer ends, and a field takes more memory than its bytes.
+constexpr std::size_t MaxHeadBytes = std::size_t{64} << 10U;
+constexpr std::size_t MaxHeadFields = 200;
 /// Framing bytes that are allowed beyond that for each byte of the body. A
 /// chunk of one byte has five.
 constexpr std::size_t MaxFramingPerBodyByte = 8;
@@ -263,7 +267,8 @@
 }
 
 bool client_connection::exceedsLimits() const noexcept {
-  return BodyBytes > Call.MaxBodyBytes ||
+  return BodyBytes > Call.MaxBodyBytes || HeadBytes > MaxHeadBytes ||
+         Headers.size() > MaxHeadFields ||
          BytesRead >
              BodyBytes + MaxFramingBytes + MaxFramingPerBodyByte * BodyBytes;
 }
@@ -360,6 +365,16 @@
   Field.clear();
   Value.clear();
   InValue = false;
+  HeadBytes = 0;
+}
+
+int client_connection::addHeadBytes(std::string &To, std::string_view Bytes) {
+  HeadBytes += Bytes.size();
+  if (HeadBytes > MaxHeadBytes || Headers.size() > MaxHeadFields) {
+    return 1; // ends the parser
+  }
+  To += Bytes;
+  return 0;
 }
 
 void client_connection::noteHeader() {
@@ -387,15 +402,13 @@
     if (Self.InValue) {
       Self.noteHeader();
     }
-    Self.Field.append(At, Size);
-    return 0;
+    return Self.addHeadBytes(Self.Field, {At, Size});
   };
   Settings.on_header_value = [](http_parser *Parser, const char *At,
                                 std::size_t Size) {
     auto &Self = of(Parser);
     Self.InValue = true;
-    Self.Value.append(At, Size);
-    return 0;
+    return Self.addHeadBytes(Self.Value, {At, Size});
   };
   Settings.on_headers_complete = [](http_parser *Parser) {
     return of(Parser).onHeadersComplete();
@@ -420,6 +433,9 @@
 
 int client_connection::onHeadersComplete() {
   noteHeader();
+  if (Headers.size() > MaxHeadFields) {
+    return -1; // a value above 0 has a meaning to the parser
+  }
   const int Status = Parser.status_code;
   if (Status < 200) {
     return 0;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -67,6 +67,8 @@
   void end(call_outcome Outcome);
   [[nodiscard]] std::optional<instant> reusableUntil() const;
   void noteHeader();
+  /// Adds bytes of a field; not 0 if the head is too long.
+  int addHeadBytes(std::string &To, std::string_view Bytes);
   void resetAnswer();
 
   static http_parser_settings parserSettings() noexcept;
@@ -89,6 +91,7 @@
 
   std::size_t BytesRead = 0; ///< since the call started
   std::size_t BodyBytes = 0; ///< of them, bytes of the answer's body
+  std::size_t HeadBytes = 0; ///< of the head that is read, with trailers
   http_headers Headers;
   std::string Field;
   std::string Value;
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -180,12 +180,12 @@
     onStreamBytes(Request, Bytes);
     return;
   }
-  if (Request->Attempt.Body.size() + Bytes.size() > MaxResponseBytes) {
+  if (!Request->Attempt.Body.append(Request->Shard.Answers, Bytes,
+                                    MaxResponseBytes)) {
     Request->Attempt.Oversized = true;
+    Request->Attempt.Body.clear();
     Request->Shard.Client.cancel(Request->Attempt.CallId);
-    return;
   }
-  Request->Attempt.Body += Bytes;
 }
 
 /// Returns the body of the next attempt. For a resumed stream it says after how
--- a/src/router/routed_request.h
+++ b/src/router/routed_request.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_ROUTER_ROUTED_REQUEST_H
 #define ARBUTUS_ROUTER_ROUTED_REQUEST_H
 
+#include "net/answer_buffer.h"
 #include "net/http_exchange.h"
 #include "pool/router_scheduler.h"
 #include "router/retry_policy.h"
@@ -28,7 +29,7 @@
   bool RejectedBeforeExecution = false;
   bool Oversized = false;
   net::http_headers Headers;
-  std::string Body; ///< of a response that is not streamed
+  net::answer_buffer Body; ///< of a response that is not streamed
 };
 
 /// A caller's request from admission to its response. It is used only on the
--- a/src/router/upstream_response.cpp
+++ b/src/router/upstream_response.cpp
@@ -16,7 +16,8 @@
             : static_cast<double>(Request.Body.size()) / 4;
     return Prompt + static_cast<double>(Request.Validator->tokens());
   }
-  const auto Json = nlohmann::json::parse(Request.Attempt.Body, nullptr, false);
+  const auto Json =
+      nlohmann::json::parse(Request.Attempt.Body.text(), nullptr, false);
   if (Json.is_object() && Json.contains("usage") && Json["usage"].is_object()) {
     return static_cast<double>(
         unsignedFieldOr(Json["usage"], "prompt_tokens", 0) +
@@ -41,7 +42,7 @@
     }
   }
   addTraceHeaders(Request, Response.Headers);
-  Response.Body = Request.Attempt.Body;
+  Response.Body = Request.Attempt.Body.text();
   if (Request.IsModelRequest &&
       Request.CallerRequestId != Request.UpstreamRequestId) {
     const auto At = Response.Body.find(Request.UpstreamRequestId);
@@ -62,7 +63,7 @@
   }
   if (Request.IsModelRequest && Request.Attempt.Status < 300) {
     const auto Json =
-        nlohmann::json::parse(Request.Attempt.Body, nullptr, false);
+        nlohmann::json::parse(Request.Attempt.Body.text(), nullptr, false);
     return Json.is_object() &&
            stringFieldOrEmpty(Json, "id") == Request.UpstreamRequestId;
   }
--- a/src/traffic/traffic_end.cpp
+++ b/src/traffic/traffic_end.cpp
@@ -155,7 +155,7 @@
   }
   Request->Exchange->respond({Request->Attempt.Status,
                               responseHeaders(Request->Attempt.Headers),
-                              std::move(Request->Attempt.Body)});
+                              Request->Attempt.Body.take()});
 }
 
 void completeDisconnected(const traffic_request_ptr &Request) {
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -153,13 +153,12 @@
       Request->Exchange->abort();
       onCallerDisconnected(Request);
     }
-  } else if (Attempt.Body.size() + Bytes.size() > MaxResponseBytes) {
-    Attempt.Oversized = true;
   } else {
-    Attempt.Body += Bytes;
+    Attempt.Oversized = !Attempt.Body.append(Request->Shard.Shard.Answers,
+                                             Bytes, MaxResponseBytes);
   }
   if (Attempt.Oversized) {
-    Attempt.Body = {};
+    Attempt.Body.clear();
     Request->Shard.Shard.Client.cancel(Attempt.Call,
                                        net::call_outcome::AnswerBroken);
   }
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_TRAFFIC_TRAFFIC_REQUEST_H
 #define ARBUTUS_TRAFFIC_TRAFFIC_REQUEST_H
 
+#include "net/answer_buffer.h"
 #include "net/http_exchange.h"
 #include "router/request_error.h"
 #include "router/routed_request.h"
@@ -31,7 +32,7 @@
   net::http_headers Headers;
   upstream_response_info ResponseInfo;
   bool IsEventStream = false; ///< by its content type
-  std::string Body;           ///< of responses that are not streamed
+  net::answer_buffer Body;    ///< of responses that are not streamed
   bool FirstByte = false;
   /// A whole event of a stream has arrived.
   bool FirstEvent = false;
--- a/tests/net/test_http_client.cpp
+++ b/tests/net/test_http_client.cpp
@@ -387,6 +387,33 @@
   }
 }
 
+// Guards against heads that take many times their bytes in memory: a head of 80
+// KB, the most that the parser takes, can have 13,000 fields.
+TEST_CASE("the head of an answer is bounded in fields and bytes") {
+  struct row {
+    std::string What;
+    std::string Fields;
+    call_outcome Outcome;
+  };
+  const std::string Long = "A: " + std::string(60'000, '1') + "\r\n";
+  const std::vector<row> Rows = {
+      {"190 fields", repeated("A: b\r\n", 190), call_outcome::Complete},
+      {"210 fields", repeated("A: b\r\n", 210), call_outcome::SentNoAnswer},
+      {"60 KB", Long, call_outcome::Complete},
+      {"70 KB", Long + "A: " + std::string(10'000, '1') + "\r\n",
+       call_outcome::SentNoAnswer},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.What);
+    // The client closes, which ends the server's stray bytes.
+    endless_server Server("HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\n" +
+                              Row.Fields + "Content-Length: 2\r\n\r\nok",
+                          "x", 5ms);
+    const auto Result = callEndless(Server, 60s, 1'000);
+    CHECK(nameOf(Result.Outcome) == nameOf(Row.Outcome));
+  }
+}
+
 // Guards against a call that outlives its deadline because its server sends a
 // byte now and then.
 TEST_CASE("a call ends at its deadline although bytes keep coming") {
