Dial a peer anew when it has dialed anew, so that one-way silence ends

Cause: a connection carries frames one way, and the mesh took a peer for silent when it heard nothing from it. The side that hears nothing dials its own, sound connection anew every 5 s (11 links at 19 s, 10 at 24, 29 and 34 s in the log); the side whose connection is silent hears the peer and does nothing.

Evidence: "a connection is replaced when a peer that hears nothing dials anew" fails without the new call (no second connection within 30 s).

Change: the first frame on a new connection of a peer replaces the connection to it, if that one is at least as old as the time after which a silent peer is dialed. A sound connection is then replaced too, at most once per dial of the peer. Ruled out: TCP_USER_TIMEOUT, which does not end a connection whose kernel still acknowledges.

--- a/src/net/mesh_listener.cpp
+++ b/src/net/mesh_listener.cpp
@@ -43,11 +43,12 @@
 
   asio::ip::tcp::socket Socket;
   frame_stream Stream;
+  bool HasFrames = false;
 };
 
 mesh_listener::mesh_listener(asio::io_context &Io,
                              const asio::ip::tcp::endpoint &At,
-                             frame_function OnFrame,
+                             frame_receiver OnFrame,
                              std::function<void()> OnTooLong)
     : Acceptor(Io, At, false,
                [this](asio::ip::tcp::socket Socket) {
@@ -88,7 +89,10 @@
   if (Error) {
     return Error == asio::error::would_block;
   }
-  if (!feedFrames(From.Stream, {Buffer.data(), Count}, OnFrame)) {
+  const auto Receive = [this, &From](std::string_view Frame) {
+    OnFrame(Frame, !std::exchange(From.HasFrames, true));
+  };
+  if (!feedFrames(From.Stream, {Buffer.data(), Count}, Receive)) {
     OnTooLong();
     return false;
   }
--- a/src/net/mesh_listener.h
+++ b/src/net/mesh_listener.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace arbutus::net::impl {
@@ -15,11 +16,15 @@
 /// the thread that runs the io_context.
 class mesh_listener {
 public:
+  /// Gets a frame and whether it is the first one on its connection.
+  using frame_receiver =
+      std::function<void(std::string_view Frame, bool IsFirst)>;
+
   /// Starts listening. Throws `std::system_error` when the address cannot be
   /// used. `OnTooLong` is called when a peer announces a frame beyond the
   /// limit; its connection is then closed.
   mesh_listener(asio::io_context &Io, const asio::ip::tcp::endpoint &At,
-                frame_function OnFrame, std::function<void()> OnTooLong);
+                frame_receiver OnFrame, std::function<void()> OnTooLong);
 
   /// `ip:port`, with the port that the system chose.
   [[nodiscard]] std::string address() const;
@@ -33,7 +38,7 @@
   [[nodiscard]] bool readSome(incoming &From);
 
   connection_acceptor Acceptor;
-  frame_function OnFrame;
+  frame_receiver OnFrame;
   std::function<void()> OnTooLong;
   /// Shared by all connections, which are read one at a time.
   std::vector<char> Buffer;
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -97,6 +97,15 @@
   dial();
 }
 
+void peer_link::redialIfOlder(instant Now, duration Age) {
+  const std::lock_guard Lock(Mutex);
+  if (State != link_state::Connected || Now - DialedAt < Age) {
+    return;
+  }
+  dropConnection("peer dialed anew");
+  dial();
+}
+
 /// Starts a connection attempt. Like all functions below, only for the holder
 /// of `Mutex`.
 void peer_link::dial() {
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -59,6 +59,9 @@
   /// without any frame from the peer.
   void redialIfSilent(instant LastReceived, instant Now, duration Silence);
 
+  /// Replaces a connection that was dialed at least `Age` ago.
+  void redialIfOlder(instant Now, duration Age);
+
   [[nodiscard]] const mesh_peer &peer() const noexcept { return Peer; }
 
 private:
--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -91,8 +91,8 @@
     try {
       Listener = std::make_unique<impl::mesh_listener>(
           Io, impl::meshEndpoint(Options.Listen),
-          [this](std::string_view Frame) {
-            onMessage(Frame, monotonic_clock::now());
+          [this](std::string_view Frame, bool IsFirst) {
+            onMessage(Frame, IsFirst, monotonic_clock::now());
           },
           [this] { count(mesh_drop::Length); });
       Address = Listener->address();
@@ -117,7 +117,7 @@
     });
   }
 
-  void onMessage(std::string_view Bytes, instant Now) {
+  void onMessage(std::string_view Bytes, bool IsFirst, instant Now) {
     const auto Parsed = parseFrame(Bytes, Options.Self, Options.FleetKey);
     if (Parsed.has_error()) {
       count(Parsed.error());
@@ -136,6 +136,9 @@
       return;
     }
     LastReceived[Header.Sender] = Now;
+    if (IsFirst) {
+      redialAfterPeer(Header.Sender, Now);
+    }
     auto &Counters = Kinds[static_cast<std::size_t>(Header.Kind)];
     ++Counters.FramesReceived;
     Counters.BytesReceived += Bytes.size();
@@ -157,6 +160,21 @@
     }
   }
 
+  /// A peer that dials anew may do so because it hears nothing from here: the
+  /// connection to it may have gone silent while its own one worked.
+  void redialAfterPeer(node_id Node, instant Now) {
+    std::shared_ptr<peer_link> Link;
+    {
+      const std::shared_lock Lock(Mutex);
+      const auto Found = Links.find(Node);
+      if (Found == Links.end()) {
+        return;
+      }
+      Link = Found->second;
+    }
+    Link->redialIfOlder(Now, Options.RedialAfter);
+  }
+
   void count(mesh_drop Drop) noexcept {
     ++Drops[static_cast<std::size_t>(Drop)];
   }
--- a/tests/net/test_peer_mesh.cpp
+++ b/tests/net/test_peer_mesh.cpp
@@ -115,6 +115,11 @@
     Connections.push_back(Accepted);
     return Accepted >= 0;
   }
+  /// True if a further connection waits.
+  [[nodiscard]] bool hasConnection() const {
+    pollfd Poll{Descriptor, POLLIN, 0};
+    return poll(&Poll, 1, 0) == 1;
+  }
   [[nodiscard]] std::string address() const {
     return "127.0.0.1:" + std::to_string(Port);
   }
@@ -373,6 +378,27 @@
   }
 }
 
+// Guards against a connection that goes silent for good in one direction only:
+// its sender hears the peer, so that it does not notice, and the peer can dial
+// anew its own connection only.
+TEST_CASE(
+    "a connection is replaced when a peer that hears nothing dials anew") {
+  silent_listener Silent;
+  test_node Deaf(2, 1,
+                 [](mesh_options &Options) { Options.RedialAfter = 50ms; });
+  test_node Sender(1, 1,
+                   [](mesh_options &Options) { Options.RedialAfter = 1s; });
+  Deaf.dial({{1, &Sender}});
+  Sender.Mesh->setPeers({{node_id{2}, Silent.address()}});
+  REQUIRE(Silent.accepts());
+  // The peer is heard all the time, so that it does not count as silent.
+  CHECK(eventually([&] {
+    (void)Deaf.Mesh->send(node_id{1}, message_kind::Heartbeat, "beat");
+    (void)Sender.Mesh->send(node_id{2}, message_kind::Heartbeat, "beat");
+    return Silent.hasConnection();
+  }));
+}
+
 // Guards against a destructor, a change of peers or a redial that waits for
 // ever when frames are on their way.
 TEST_CASE("a mesh stops and redials under traffic") {
