Split the voter by loop, requests and storage; one file for limits in bytes

The shares of the memory for the log and for answers stand together in memory_limits.h. Reads are answered while the log has no room for commands; nothing else changes.

--- a/src/control/voter_limits.cpp
+++ b/src/control/memory_limits.cpp
@@ -1,4 +1,6 @@
-#include "control/voter_limits.h"
+#include "control/memory_limits.h"
+
+#include "router/shard.h"
 
 #include <algorithm>
 
@@ -15,6 +17,9 @@
 /// holds the current configuration beside it, and a snapshot is in memory and
 /// on disk twice while it is replaced.
 constexpr std::uint64_t LogFraction = 8;
+/// The answers that all I/O threads keep take at most this fraction of the
+/// memory.
+constexpr std::uint64_t AnswerFraction = 8;
 
 std::uint64_t logBytes(const settings::limit_settings &Limits) noexcept {
   std::uint64_t Bytes = DefaultLogBytes;
@@ -34,4 +39,14 @@
   return {3 * Eighth, 2 * Eighth, 2 * Eighth, Eighth};
 }
 
+std::size_t answerMemoryBytes(const settings::limit_settings &Limits,
+                              int Threads) noexcept {
+  if (Limits.MemoryMegabytes == 0) {
+    return router::DefaultAnswerMemoryBytes;
+  }
+  const auto Share = Limits.MemoryMegabytes * BytesPerMegabyte /
+                     AnswerFraction / static_cast<std::uint64_t>(Threads);
+  return std::min<std::size_t>(router::DefaultAnswerMemoryBytes, Share);
+}
+
 } // namespace arbutus::control
--- a/src/control/voter_limits.h
+++ b/src/control/memory_limits.h
@@ -1,5 +1,5 @@
-#ifndef ARBUTUS_CONTROL_VOTER_LIMITS_H
-#define ARBUTUS_CONTROL_VOTER_LIMITS_H
+#ifndef ARBUTUS_CONTROL_MEMORY_LIMITS_H
+#define ARBUTUS_CONTROL_MEMORY_LIMITS_H
 
 #include "settings/settings.h"
 
@@ -26,6 +26,10 @@
 [[nodiscard]] voter_limits
 voterLimits(const settings::limit_settings &Limits) noexcept;
 
+/// Bytes of answers that one of `Threads` I/O threads may keep at once.
+[[nodiscard]] std::size_t
+answerMemoryBytes(const settings::limit_settings &Limits, int Threads) noexcept;
+
 } // namespace arbutus::control
 
 #endif
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "control/gateway.h"
 #include "control/instance_poller.h"
+#include "control/memory_limits.h"
 #include "control/mesh_peers.h"
 #include "control/node_agent.h"
 #include "control/process_gauges.h"
@@ -41,22 +42,6 @@
 /// The process exits this long before the termination grace period ends.
 constexpr duration TerminationMargin = 600ms;
 
-/// The answers that all I/O threads keep take at most this fraction of the
-/// memory.
-constexpr std::size_t AnswerMemoryFraction = 8;
-constexpr std::size_t BytesPerMegabyte = 1'000'000;
-
-/// Memory for the answers that one I/O thread keeps.
-std::size_t answerMemoryBytes(const settings::settings &Settings) {
-  if (Settings.Limits.MemoryMegabytes == 0) {
-    return router::DefaultAnswerMemoryBytes;
-  }
-  const auto Threads = static_cast<std::size_t>(Settings.Listen.Threads);
-  return std::min(router::DefaultAnswerMemoryBytes,
-                  Settings.Limits.MemoryMegabytes * BytesPerMegabyte /
-                      AnswerMemoryFraction / Threads);
-}
-
 /// An I/O thread with its listeners.
 struct io_thread {
   io_thread(int Index, std::size_t AnswerMemoryBytes)
@@ -271,7 +256,8 @@
   Options.HardBodyLimit = HardLimitFactor * Settings.Limits.BodyBytes;
   Options.HardHeaderFieldLimit = HardLimitFactor * Settings.Limits.HeaderBytes;
   for (int I = 0; I < Settings.Listen.Threads; ++I) {
-    auto Thread = std::make_unique<io_thread>(I, answerMemoryBytes(Settings));
+    auto Thread = std::make_unique<io_thread>(
+        I, answerMemoryBytes(Settings.Limits, Settings.Listen.Threads));
     auto &Shard = Thread->Shard;
     try {
       Thread->Server = std::make_unique<net::http_server>(
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -2,23 +2,12 @@
 
 #include "base/codec.h"
 #include "base/log.h"
-#include "consensus/consensus.h"
-#include "control/domain_order_filter.h"
-#include "control/leader_duties.h"
-#include "control/resource_api.h"
-#include "control/voter_limits.h"
 #include "control/voter_log.h"
-#include "control/voter_queue.h"
-#include "storage/storage.h"
+#include "control/voter_state.h"
 #include "store/instance_diff.h"
-#include "store/state_machine.h"
 
-#include <condition_variable>
-#include <map>
-#include <mutex>
 #include <random>
-#include <thread>
-#include <variant>
+#include <utility>
 
 namespace arbutus::control {
 
@@ -27,88 +16,8 @@
 /// Longest wait of the voter thread for frames. Consensus needs a tick at least
 /// every 50 ms.
 constexpr auto TickInterval = std::chrono::milliseconds(20);
-/// Applied entries after which a snapshot is saved. It bounds the entries that
-/// a restart has to replay.
-constexpr std::uint64_t EntriesPerSnapshot = 2000;
-/// Time between two attempts to reopen the data directory after a failed write
-/// or sync.
-constexpr duration ReopenInterval = 500ms;
 constexpr std::size_t MaxCommandsPerEntry = 1000;
 
-} // namespace
-
-struct voter::state {
-  state(const settings::settings &Settings, const send_function &Send,
-        const storage::file_operations &Files, storage::open_result Opened);
-
-  void run();
-  void handleFrame(const voter_frame &Frame, instant Now);
-  void handleRaft(const voter_frame &Frame, instant Now);
-  void handleHeartbeat(const voter_frame &Frame, instant Now);
-  void handleClaimRequest(const voter_frame &Frame, instant Now);
-  void handleAdminRequest(const voter_frame &Frame, instant Now);
-  void proposeInstanceChanges(const instance_list &List, instant Now);
-  void proposeMembershipChange(instant Now);
-  void step(const consensus::input &Input, instant Now);
-  void propose(instant Now);
-  void processOutputs(instant Now);
-  bool writeOutputs(const std::vector<consensus::output> &Batch,
-                    std::uint64_t &Sequence);
-  void applyEntry(const consensus::log_entry &Entry);
-  [[nodiscard]] bool admitOrder(const store::set_domain_command &Order,
-                                const api_request_message &Request,
-                                command_requester &Requester, instant Now);
-  void reply(const command_requester &Requester,
-             const store::command_outcome &Outcome);
-  void replyToOperator(const command_requester &Requester,
-                       api_response Response);
-  void saveSnapshot(instant Now);
-  bool isLeading(instant Now) const;
-  void publishStatus(instant Now);
-  void handleStorageFailure(const storage::storage_error &Error, instant Now);
-  void recoverStore();
-  [[nodiscard]] consensus::raft_options raftOptions() const;
-  [[nodiscard]] bool hasRoomFor(const voter_frame &Frame) const;
-  void tryRecoverStorage(instant Now);
-  [[nodiscard]] storage::storage_result<storage::open_result> reopenLog();
-
-  settings::settings Settings;
-  voter_limits Limits;
-  storage::file_operations Files;
-  consensus::data_directory_id DirectoryId;
-  send_function Send;
-  /// Empty while the data directory cannot be reopened.
-  std::optional<storage::durable_log> Log;
-  consensus::raft_node Raft;
-  store::state_machine Store;
-  leader_duties Duties;
-  domain_order_filter Orders;
-  std::uint64_t AppliedIndex = 0;
-  std::uint64_t SnapshotIndex = 0;
-  /// Payload bytes of the entries applied since the latest snapshot.
-  std::uint64_t BytesSinceSnapshot = 0;
-  bool StorageFailed = false;
-  /// Time of the next attempt to reopen the data directory; empty if its
-  /// content is corrupt, which another attempt cannot repair.
-  std::optional<instant> ReopenAt;
-  std::vector<consensus::output> Outputs;
-  std::vector<queued_command> Queue;
-  /// Bytes of the frames that the queued commands came in.
-  std::uint64_t QueuedBytes = 0;
-  std::map<std::uint64_t, proposed_entry> ProposedEntries;
-
-  mutable std::mutex Mutex;
-  std::condition_variable Wake;
-  std::vector<voter_frame> Inbox;
-  std::optional<instance_list> PendingInstances;
-  bool DiscoveryFailed = false;
-  bool Stopping = false;
-  voter_status Status;
-  std::thread Thread;
-};
-
-namespace {
-
 std::optional<duration> maxInstanceAge(const settings::settings &Settings) {
   return Settings.Discovery.enabled()
              ? std::optional<duration>(Settings.Discovery.MaxAge)
@@ -144,67 +53,6 @@
   return Options;
 }
 
-/// Restores the store from the snapshot that `Raft` was recovered with.
-void voter::state::recoverStore() {
-  Store = store::state_machine();
-  AppliedIndex = 0;
-  SnapshotIndex = 0;
-  BytesSinceSnapshot = 0;
-  const auto &Snapshot = Raft.latestSnapshot();
-  if (!Snapshot) {
-    return;
-  }
-  if (Store.restore(*Snapshot->Data).has_error()) {
-    logEvent(log_level::Error, "snapshot_unreadable",
-             {{"index", Snapshot->Meta.Index}});
-    StorageFailed = true;
-  }
-  AppliedIndex = Snapshot->Meta.Index;
-  SnapshotIndex = AppliedIndex;
-}
-
-storage::storage_result<storage::open_result> voter::state::reopenLog() {
-  if (Log) {
-    BOOST_OUTCOME_TRY(Log->discardUnsynced());
-    Log.reset(); // Releases the lock on the directory.
-  }
-  return openVoterLog(Settings, Files);
-}
-
-void voter::state::tryRecoverStorage(instant Now) {
-  if (!ReopenAt || Now < *ReopenAt) {
-    return;
-  }
-  auto Opened = reopenLog();
-  if (Opened.has_error()) {
-    logEvent(log_level::Debug, "storage_still_failing",
-             {{"code", nameOf(Opened.error().Code)},
-              {"file", Opened.error().File},
-              {"detail", Opened.error().Detail}});
-    ReopenAt = Now + ReopenInterval;
-    return;
-  }
-  ReopenAt.reset();
-  StorageFailed = false;
-  DirectoryId = Opened.value().DirectoryId;
-  Log = std::move(Opened.value().Log);
-  // Commands that were not committed get no reply; their senders resend them.
-  Outputs.clear();
-  Queue.clear();
-  QueuedBytes = 0;
-  ProposedEntries.clear();
-  Duties.endTerm();
-  Orders.reset();
-  Raft =
-      consensus::raft_node(raftOptions(), std::move(Opened.value().Recovered),
-                           std::mt19937_64(std::random_device{}()), Now);
-  recoverStore();
-  logEvent(log_level::Info, "storage_recovered",
-           {{"snapshot_index", SnapshotIndex},
-            {"last_index", Raft.status().LastIndex},
-            {"torn_bytes", Opened.value().TornBytes}});
-}
-
 void voter::state::run() {
   while (true) {
     std::vector<voter_frame> Frames;
@@ -302,106 +150,6 @@
   step(consensus::peer_message{std::move(Message.value())}, Now);
 }
 
-void voter::state::handleHeartbeat(const voter_frame &Frame, instant Now) {
-  const auto Heartbeat = decode<heartbeat_message>(Frame.Payload);
-  if (Heartbeat.has_value()) {
-    Duties.onHeartbeat(Frame.From, Frame.Incarnation, Heartbeat.value(),
-                       Raft.status().Leader, isLeading(Now),
-                       Raft.status().Membership, Store, Now);
-  }
-}
-
-void voter::state::handleClaimRequest(const voter_frame &Frame, instant Now) {
-  const auto Message = decode<claim_request_message>(Frame.Payload);
-  if (Message.has_error() || !isLeading(Now) || !hasRoomFor(Frame)) {
-    return; // The sender resends it to the leader.
-  }
-  auto Command = decode<store::command>(Message.value().Command);
-  if (Command.has_value()) {
-    QueuedBytes += Frame.Payload.size();
-    Queue.push_back({std::move(Command.value()),
-                     {command_requester::kind::Router,
-                      Frame.From,
-                      Message.value().Number,
-                      instant{},
-                      {},
-                      0}});
-  }
-}
-
-void voter::state::handleAdminRequest(const voter_frame &Frame, instant Now) {
-  const auto Request = decode<api_request_message>(Frame.Payload);
-  if (Request.has_error() || !isLeading(Now) || !hasRoomFor(Frame)) {
-    return; // The sender resends it to the leader.
-  }
-  auto Plan = planAdminRequest(Request.value(), Store, Duties.liveNodes());
-  command_requester Requester{command_requester::kind::Operator,
-                              Frame.From,
-                              Request.value().Number,
-                              instant{},
-                              {},
-                              0};
-  if (Plan.Command) {
-    const auto *Order =
-        std::get_if<store::set_domain_command>(&Plan.Command->Value);
-    if (Order != nullptr &&
-        !admitOrder(*Order, Request.value(), Requester, Now)) {
-      return;
-    }
-    QueuedBytes += Frame.Payload.size();
-    Queue.push_back({std::move(*Plan.Command), Requester});
-    return;
-  }
-  replyToOperator(Requester, std::move(Plan.Response));
-}
-
-/// Decides whether an order on a failure domain is proposed. Otherwise it is
-/// answered here, or left to be sent again.
-bool voter::state::admitOrder(const store::set_domain_command &Order,
-                              const api_request_message &Request,
-                              command_requester &Requester, instant Now) {
-  const auto Current =
-      Store.find(store::resource_kind::FailureDomain, Order.Name);
-  const bool InForce =
-      Current && Current->as<store::failure_domain>()->State == Order.State;
-  if (InForce && !Orders.inProgress(Order.Name)) {
-    // A repeat of the order in force is acknowledged again, however old it is.
-    store::command_outcome Outcome;
-    Outcome.Code = store::outcome_code::Ok;
-    Outcome.Object = Current;
-    replyToOperator(Requester, toApiResponse(Outcome));
-    return false;
-  }
-  const order_stamp Stamp{Request.Term, instantFromMicros(Request.ReceivedAtUs),
-                          instantFromMicros(Request.DeadlineUs)};
-  const auto Verdict = Orders.judge(Order.Name, Stamp, Now);
-  if (Verdict == order_verdict::Execute) {
-    Requester.Domain = Order.Name;
-    Requester.OrderNumber = Orders.onProposed(Order.Name);
-    return true;
-  }
-  if (Verdict != order_verdict::Wait) {
-    logEvent(log_level::Info, "order_refused",
-             {{"failure_domain", Order.Name},
-              {"state", nameOf(Order.State)},
-              {"reason", nameOf(Verdict)},
-              {"peer", number(Requester.Node)},
-              {"age_us", toMicros(Now - Stamp.ReceivedAt)}});
-    replyToOperator(Requester, apiError(503, nameOf(Verdict),
-                                        "the order is too old or a newer one "
-                                        "was carried out; send it again"));
-  }
-  return false;
-}
-
-/// False while the requests that are queued or not committed yet fill their
-/// share of the log. A leader whose peers are frozen would otherwise add every
-/// resend of a request to its log.
-bool voter::state::hasRoomFor(const voter_frame &Frame) const {
-  const auto Open = QueuedBytes + Raft.uncommittedBytes();
-  return Open == 0 || Open + Frame.Payload.size() <= Limits.UncommittedBytes;
-}
-
 void voter::state::proposeInstanceChanges(const instance_list &List,
                                           instant Now) {
   auto Diff = store::diffInstances(Store.list(store::resource_kind::Instance),
@@ -500,27 +248,6 @@
   }
 }
 
-bool voter::state::writeOutputs(const std::vector<consensus::output> &Batch,
-                                std::uint64_t &Sequence) {
-  for (const auto &Output : Batch) {
-    if (Output.Writes.empty()) {
-      continue;
-    }
-    if (const auto Written = Log->write(Output.Writes); Written.has_error()) {
-      handleStorageFailure(Written.error(), monotonic_clock::now());
-      return false;
-    }
-    Sequence = Output.Writes.Sequence;
-  }
-  if (Sequence != 0) {
-    if (const auto Synced = Log->sync(); Synced.has_error()) {
-      handleStorageFailure(Synced.error(), monotonic_clock::now());
-      return false;
-    }
-  }
-  return true;
-}
-
 void voter::state::applyEntry(const consensus::log_entry &Entry) {
   AppliedIndex = Entry.Index;
   BytesSinceSnapshot += Entry.Payload.size();
@@ -548,62 +275,6 @@
   }
 }
 
-void voter::state::reply(const command_requester &Requester,
-                         const store::command_outcome &Outcome) {
-  switch (Requester.Kind) {
-  case command_requester::kind::None:
-    return;
-  case command_requester::kind::Router: {
-    const claim_reply_message Reply{Requester.Number, encode(Outcome)};
-    Send(Requester.Node, net::message_kind::ClaimReply, encode(Reply));
-    return;
-  }
-  case command_requester::kind::Discovery:
-    Duties.onInstancesStored(Requester.ReadAt, Store.currentRevision());
-    return;
-  case command_requester::kind::Operator:
-    if (!Requester.Domain.empty()) {
-      Orders.onApplied(Requester.Domain, Requester.OrderNumber,
-                       monotonic_clock::now());
-    }
-    replyToOperator(Requester, toApiResponse(Outcome));
-    return;
-  }
-}
-
-void voter::state::replyToOperator(const command_requester &Requester,
-                                   api_response Response) {
-  const api_reply_message Reply{Requester.Number,
-                                static_cast<std::uint32_t>(Response.Status),
-                                std::move(Response.Body)};
-  Send(Requester.Node, net::message_kind::ApiReply, encode(Reply));
-}
-
-void voter::state::saveSnapshot(instant Now) {
-  const bool Due = AppliedIndex >= SnapshotIndex + EntriesPerSnapshot ||
-                   BytesSinceSnapshot >= Limits.SnapshotBytes;
-  if (StorageFailed || !Due) {
-    return;
-  }
-  const auto Meta = Raft.snapshotMeta(AppliedIndex);
-  if (!Meta) {
-    return;
-  }
-  const auto Data = std::make_shared<const std::string>(Store.snapshot());
-  if (const auto Saved = Log->saveSnapshot({*Meta, Data}); Saved.has_error()) {
-    handleStorageFailure(Saved.error(), Now);
-    return;
-  }
-  SnapshotIndex = AppliedIndex;
-  BytesSinceSnapshot = 0;
-  step(consensus::snapshot_saved{AppliedIndex, Data}, Now);
-  processOutputs(Now);
-  logEvent(log_level::Info, "snapshot_saved",
-           {{"index", SnapshotIndex},
-            {"bytes", Data->size()},
-            {"log_bytes", Log->logBytes()}});
-}
-
 bool voter::state::isLeading(instant Now) const {
   const auto Read = Raft.readIndex(Now);
   return Read.has_value() && AppliedIndex >= Read.value();
@@ -621,22 +292,6 @@
   Status.DirectoryId = DirectoryId;
 }
 
-void voter::state::handleStorageFailure(const storage::storage_error &Error,
-                                        instant Now) {
-  logEvent(log_level::Error, "storage_failed",
-           {{"code", nameOf(Error.Code)},
-            {"file", Error.File},
-            {"detail", Error.Detail},
-            {"errno", Error.Errno}});
-  StorageFailed = true;
-  // A full disk or a failed write may recover; corrupt content does not.
-  if (Error.Code != storage::storage_errc::Corrupt) {
-    ReopenAt = Now + ReopenInterval;
-  }
-  step(consensus::storage_failed{}, Now);
-  Outputs.clear();
-}
-
 storage::storage_result<std::unique_ptr<voter>>
 voter::start(const settings::settings &Settings, const send_function &Send,
              const storage::file_operations &Files) {
--- a/src/control/voter_log.cpp
+++ b/src/control/voter_log.cpp
@@ -1,8 +1,8 @@
 #include "control/voter_log.h"
 
 #include "consensus/consensus.h"
+#include "control/memory_limits.h"
 #include "control/voter.h"
-#include "control/voter_limits.h"
 
 #include <algorithm>
 #include <random>
--- /dev/null
+++ b/src/control/voter_requests.cpp
@@ -0,0 +1,140 @@
+#include "base/codec.h"
+#include "base/log.h"
+#include "control/voter_state.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace arbutus::control {
+
+void voter::state::handleHeartbeat(const voter_frame &Frame, instant Now) {
+  const auto Heartbeat = decode<heartbeat_message>(Frame.Payload);
+  if (Heartbeat.has_value()) {
+    Duties.onHeartbeat(Frame.From, Frame.Incarnation, Heartbeat.value(),
+                       Raft.status().Leader, isLeading(Now),
+                       Raft.status().Membership, Store, Now);
+  }
+}
+
+void voter::state::handleClaimRequest(const voter_frame &Frame, instant Now) {
+  const auto Message = decode<claim_request_message>(Frame.Payload);
+  if (Message.has_error() || !isLeading(Now) || !hasRoomFor(Frame)) {
+    return; // The sender resends it to the leader.
+  }
+  auto Command = decode<store::command>(Message.value().Command);
+  if (Command.has_value()) {
+    QueuedBytes += Frame.Payload.size();
+    command_requester Requester;
+    Requester.Kind = command_requester::kind::Router;
+    Requester.Node = Frame.From;
+    Requester.Number = Message.value().Number;
+    Queue.push_back({std::move(Command.value()), std::move(Requester)});
+  }
+}
+
+void voter::state::handleAdminRequest(const voter_frame &Frame, instant Now) {
+  const auto Request = decode<api_request_message>(Frame.Payload);
+  if (Request.has_error() || !isLeading(Now)) {
+    return; // The sender resends it to the leader.
+  }
+  auto Plan = planAdminRequest(Request.value(), Store, Duties.liveNodes());
+  command_requester Requester;
+  Requester.Kind = command_requester::kind::Operator;
+  Requester.Node = Frame.From;
+  Requester.Number = Request.value().Number;
+  if (Plan.Command) {
+    if (!hasRoomFor(Frame)) {
+      return; // As above.
+    }
+    const auto *Order =
+        std::get_if<store::set_domain_command>(&Plan.Command->Value);
+    if (Order != nullptr &&
+        !admitOrder(*Order, Request.value(), Requester, Now)) {
+      return;
+    }
+    QueuedBytes += Frame.Payload.size();
+    Queue.push_back({std::move(*Plan.Command), std::move(Requester)});
+    return;
+  }
+  replyToOperator(Requester, std::move(Plan.Response));
+}
+
+/// Decides whether an order on a failure domain is proposed. Otherwise it is
+/// answered here, or left to be sent again.
+bool voter::state::admitOrder(const store::set_domain_command &Order,
+                              const api_request_message &Request,
+                              command_requester &Requester, instant Now) {
+  const auto Current =
+      Store.find(store::resource_kind::FailureDomain, Order.Name);
+  const bool InForce =
+      Current && Current->as<store::failure_domain>()->State == Order.State;
+  if (InForce && !Orders.inProgress(Order.Name)) {
+    // A repeat of the order in force is acknowledged again, however old it is.
+    store::command_outcome Outcome;
+    Outcome.Code = store::outcome_code::Ok;
+    Outcome.Object = Current;
+    replyToOperator(Requester, toApiResponse(Outcome));
+    return false;
+  }
+  const order_stamp Stamp{Request.Term, instantFromMicros(Request.ReceivedAtUs),
+                          instantFromMicros(Request.DeadlineUs)};
+  const auto Verdict = Orders.judge(Order.Name, Stamp, Now);
+  if (Verdict == order_verdict::Execute) {
+    Requester.Domain = Order.Name;
+    Requester.OrderNumber = Orders.onProposed(Order.Name);
+    return true;
+  }
+  if (Verdict != order_verdict::Wait) {
+    logEvent(log_level::Info, "order_refused",
+             {{"failure_domain", Order.Name},
+              {"state", nameOf(Order.State)},
+              {"reason", nameOf(Verdict)},
+              {"peer", number(Requester.Node)},
+              {"age_us", toMicros(Now - Stamp.ReceivedAt)}});
+    replyToOperator(Requester, apiError(503, nameOf(Verdict),
+                                        "the order is too old or a newer one "
+                                        "was carried out; send it again"));
+  }
+  return false;
+}
+
+/// False while the requests that are queued or not committed yet fill their
+/// share of the log. A leader whose peers are frozen would otherwise add every
+/// resend of a request to its log.
+bool voter::state::hasRoomFor(const voter_frame &Frame) const {
+  const auto Open = QueuedBytes + Raft.uncommittedBytes();
+  return Open == 0 || Open + Frame.Payload.size() <= Limits.UncommittedBytes;
+}
+
+void voter::state::reply(const command_requester &Requester,
+                         const store::command_outcome &Outcome) {
+  switch (Requester.Kind) {
+  case command_requester::kind::None:
+    return;
+  case command_requester::kind::Router: {
+    const claim_reply_message Reply{Requester.Number, encode(Outcome)};
+    Send(Requester.Node, net::message_kind::ClaimReply, encode(Reply));
+    return;
+  }
+  case command_requester::kind::Discovery:
+    Duties.onInstancesStored(Requester.ReadAt, Store.currentRevision());
+    return;
+  case command_requester::kind::Operator:
+    if (!Requester.Domain.empty()) {
+      Orders.onApplied(Requester.Domain, Requester.OrderNumber,
+                       monotonic_clock::now());
+    }
+    replyToOperator(Requester, toApiResponse(Outcome));
+    return;
+  }
+}
+
+void voter::state::replyToOperator(const command_requester &Requester,
+                                   api_response Response) {
+  const api_reply_message Reply{Requester.Number,
+                                static_cast<std::uint32_t>(Response.Status),
+                                std::move(Response.Body)};
+  Send(Requester.Node, net::message_kind::ApiReply, encode(Reply));
+}
+
+} // namespace arbutus::control
