Send operators' requests only once a leader has answered

"a request is sent once the leader's clock is known" fails before this change. The first request after a start waits for the first heartbeat reply; the resend sends it.

--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -344,6 +344,9 @@
 
 void node_agent::sendAdminRequest(api_request_message Request,
                                   const request_times &Times) {
+  if (LeaderTerm == 0) {
+    return; // No leader has answered yet; the request is sent again.
+  }
   Request.Term = LeaderClock.term();
   if (Request.Term != 0) {
     Request.ReceivedAtUs = toMicros(LeaderClock.atLeast(Times.ReceivedAt));
