--- a/tests/platform/test_endless_answers.cpp
+++ b/tests/platform/test_endless_answers.cpp
@@ -57,6 +57,7 @@
         [](const auto &Request) { return answerTo(Request, "200 OK"); });
     flow_fixture Router({}, std::move(Replies));
     std::vector<std::shared_ptr<recorded_exchange>> Exchanges;
+    Exchanges.reserve(Requests);
     for (int I = 0; I < Requests; ++I) {
       Exchanges.push_back(Router.start());
     }
