A status that HTTP does not have is no answer

What callers saw: an upstream's answer with a status that HTTP does not have (600, 999) came through with that status. Behind an answer with the status 000, callers got a 200 whose body was the bytes of both answers; 000 alone was waited for until the deadline, so that also a request that may be repeated ended with 504. The same held for "0200" and "HTTP/9.1 200", and for an interim answer (1xx) with a body, whose bytes came first in the body of the answer behind it.

Cause: net/client_connection took every status below 200 as that of an interim answer, read a body behind it if its head named one, and gave these bytes to the call. The HTTP parser of the package takes any number up to 999 as a status, and any version.

Ruled out: a check of the parser's number alone; "0200" and "HTTP/9.1" pass it.

Change: the head of an answer is collected and its status line checked before the parser gets it (net/answer_head): HTTP/1.x and three digits from 100 to 599, not 101, which no call asks for. Otherwise the call ends as one that may have run: SentNoAnswer, logged as answer_unreadable. By the retry policy a request that may be repeated goes to another upstream, any other gets 502. An interim answer has no body. Each answer of a connection begins with such a head, also behind an interim or a skipped one.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -34,6 +34,11 @@
 /// chunk of one byte has five.
 constexpr std::size_t MaxFramingPerBodyByte = 8;
 
+/// What the parser is told when it has read a head.
+constexpr int BodyFollows = 0;
+constexpr int NoBody = 1;
+constexpr int EndParser = -1;
+
 using user_timeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -119,6 +124,7 @@
   Deadline = monotonic_clock::now() + Call.Timeout;
   http_parser_init(&Parser, HTTP_RESPONSE);
   Parser.data = this;
+  Head = {};
   resetAnswer();
   if (Connected) {
     armCallTimer();
@@ -246,16 +252,16 @@
 }
 
 void client_connection::onRead(std::string_view Bytes) {
-  static const http_parser_settings Settings = parserSettings();
   const auto Self = shared_from_this();
-  const std::size_t Used =
-      http_parser_execute(&Parser, &Settings, Bytes.data(), Bytes.size());
-  if (Closed) {
-    return;
-  }
   BytesRead += Bytes.size();
+  while (!Bytes.empty() && !AnswerDone && answerFault().empty()) {
+    Bytes.remove_prefix(readAnswer(Bytes));
+    if (Closed) {
+      return;
+    }
+  }
   if (AnswerDone) {
-    Stray = Stray || Used < Bytes.size();
+    Stray = Stray || !Bytes.empty();
     end(call_outcome::Complete);
     return;
   }
@@ -267,16 +273,48 @@
     end(brokenOutcome());
     return;
   }
-  if (HTTP_PARSER_ERRNO(&Parser) != HPE_OK) {
+  if (const auto Fault = answerFault(); !Fault.empty()) {
     logEvent(log_level::Info, "answer_unreadable",
-             {{"server", Server.address().to_string()},
-              {"reason", http_errno_name(HTTP_PARSER_ERRNO(&Parser))}});
+             {{"server", Server.address().to_string()}, {"reason", Fault}});
     end(brokenOutcome());
     return;
   }
   read();
 }
 
+std::size_t client_connection::readAnswer(std::string_view Bytes) {
+  static const http_parser_settings Settings = parserSettings();
+  if (Head.State == head_state::Complete) {
+    const std::size_t Used =
+        http_parser_execute(&Parser, &Settings, Bytes.data(), Bytes.size());
+    onParsed();
+    return Used;
+  }
+  const std::size_t Used = readHead(Head, Bytes);
+  if (Head.State == head_state::Complete) {
+    const std::string Text = std::exchange(Head.Text, {});
+    http_parser_execute(&Parser, &Settings, Text.data(), Text.size());
+    onParsed();
+  }
+  return Used;
+}
+
+void client_connection::onParsed() {
+  if (HTTP_PARSER_ERRNO(&Parser) == HPE_PAUSED) {
+    // The end of an answer; what follows begins with a head.
+    http_parser_pause(&Parser, 0);
+    Head = {};
+  }
+}
+
+std::string_view client_connection::answerFault() const noexcept {
+  if (isBroken(Head)) {
+    return nameOf(Head.State);
+  }
+  const auto Error = HTTP_PARSER_ERRNO(&Parser);
+  return Error == HPE_OK ? std::string_view() : http_errno_name(Error);
+}
+
 bool client_connection::exceedsLimits() const noexcept {
   return BodyBytes > Call.MaxBodyBytes || HeadBytes > MaxHeadBytes ||
          Headers.size() > MaxHeadFields ||
@@ -445,36 +483,30 @@
 int client_connection::onHeadersComplete() {
   noteHeader();
   if (Headers.size() > MaxHeadFields) {
-    return -1; // a value above 0 has a meaning to the parser
+    return EndParser;
   }
   const int Status = Parser.status_code;
   if (Status < 200) {
-    return 0;
+    return NoBody; // whatever an interim answer says of its length
   }
   SkipAnswer = Call.IsAnswer && !Call.IsAnswer(Headers);
   if (SkipAnswer) {
     Stray = true;
     logEvent(log_level::Info, "stray_answer",
              {{"server", Server.address().to_string()}, {"status", Status}});
-    return 0;
+    return BodyFollows;
   }
   AnswerBegun = true;
   if (Call.OnHeaders) {
     Call.OnHeaders(Status, Headers);
   }
-  // 1 tells the parser that no body follows.
-  return Call.Method == "HEAD" ? 1 : 0;
+  return Call.Method == "HEAD" ? NoBody : BodyFollows;
 }
 
 int client_connection::onMessageComplete() {
-  if (Parser.status_code < 200) {
-    return 0;
-  }
-  if (SkipAnswer) {
-    SkipAnswer = false;
-    return 0;
-  }
-  AnswerDone = true;
+  const bool Interim = Parser.status_code < 200;
+  AnswerDone = !Interim && !SkipAnswer;
+  SkipAnswer = false;
   http_parser_pause(&Parser, 1);
   return 0;
 }
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -1,6 +1,7 @@
 #ifndef ARBUTUS_NET_CLIENT_CONNECTION_H
 #define ARBUTUS_NET_CLIENT_CONNECTION_H
 
+#include "net/answer_head.h"
 #include "net/http_call.h"
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -59,6 +60,12 @@
   void read();
   void onReadable(asio::error_code Error);
   void onRead(std::string_view Bytes);
+  /// Reads bytes up to the end of a head or of an answer at the most, and
+  /// returns how many these are.
+  std::size_t readAnswer(std::string_view Bytes);
+  void onParsed();
+  /// Why the answer cannot be read on, or nothing.
+  [[nodiscard]] std::string_view answerFault() const noexcept;
   [[nodiscard]] bool exceedsLimits() const noexcept;
   /// How a call ends whose answer is not read to its end.
   [[nodiscard]] call_outcome brokenOutcome() const noexcept;
@@ -92,6 +99,7 @@
   std::size_t BytesRead = 0; ///< since the call started
   std::size_t BodyBytes = 0; ///< of them, bytes of the answer's body
   std::size_t HeadBytes = 0; ///< of the head that is read, with trailers
+  answer_head Head;
   http_headers Headers;
   std::string Field;
   std::string Value;
--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr auto Idempotent = store::request_kind::Idempotent;
 constexpr auto NonIdempotent = store::request_kind::NonIdempotent;
 constexpr auto Stream = store::request_kind::Stream;
 
@@ -28,6 +29,32 @@
                     "Content-Type: text/event-stream\r\n" + Framing + "\r\n");
 }
 
+/// A caller's request fails when its upstream answers it with these bytes.
+/// Repeated at another upstream, it succeeds; it is not repeated where it may
+/// run only once.
+void checkRefused(const scripted_reply &Broken) {
+  struct row {
+    route_options Route;
+    bool Repeated;
+  };
+  const std::vector<row> Rows = {{{NonIdempotent}, false},
+                                 {{Idempotent}, true},
+                                 {{Stream, false}, false},
+                                 {{Stream, true}, true}};
+  for (const auto &Row : Rows) {
+    CAPTURE(static_cast<int>(Row.Route.Kind), Row.Route.Resumable);
+    int Calls = 0;
+    const auto Reply = [&](const auto &Request) {
+      return ++Calls == 1 ? Broken : answerTo(Request, "200 OK");
+    };
+    flow_fixture Router(Row.Route, {Reply, Reply});
+    const auto Exchange = Router.request({{"Deadline-Ms", "5000"}});
+    CHECK(Exchange->Status == (Row.Repeated ? 200 : 502));
+    CHECK(Exchange->Body.find("bad") == std::string::npos);
+    CHECK(Calls == (Row.Repeated ? 2 : 1));
+  }
+}
+
 } // namespace
 
 // Guards against a refusal that a faulty upstream writes once more on a kept
@@ -188,3 +215,33 @@
     }
   }
 }
+
+// Guards against bytes that are no answer and reach the caller as one: a status
+// that HTTP does not have, alone or before the upstream's own answer.
+TEST_CASE("an answer without an HTTP status reaches no caller") {
+  const std::string Bad = "Content-Length: 3\r\n\r\nbad";
+  const auto Whole = [&](const std::string &StatusLine) {
+    return StatusLine + "\r\nAttempt-Id: r1\r\nServer-Stamp: s\r\n" + Bad;
+  };
+  const std::vector<std::pair<std::string, std::string>> Rows = {
+      {"000", Whole("HTTP/1.1 000 X")},
+      {"000, the answer follows",
+       Whole("HTTP/1.1 000 X") + Whole("HTTP/1.1 200 OK")},
+      {"below the least status", Whole("HTTP/1.1 099 X")},
+      {"above the last status", Whole("HTTP/1.1 600 X")},
+      {"two digits", Whole("HTTP/1.1 20 X")},
+      {"four digits", Whole("HTTP/1.1 0200 X")},
+      {"another version of HTTP", Whole("HTTP/9.1 200 OK")},
+      {"a change of the protocol",
+       "HTTP/1.1 101 X\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n" +
+           Whole("HTTP/1.1 200 OK")},
+      {"an interim answer with a body",
+       "HTTP/1.1 100 X\r\n" + Bad + Whole("HTTP/1.1 200 OK")},
+  };
+  for (const auto &[Name, Bytes] : Rows) {
+    for (const auto After : {after::Keep, after::Close}) {
+      CAPTURE(Name, static_cast<int>(After));
+      checkRefused({Bytes, After});
+    }
+  }
+}
