A head with a malformed field is no answer

What callers saw: an answer in whose head the name of a field held a blank came through with that line in its head. Where it was the name of the length or of the encoding, its body was more than the upstream's, or the text of the chunks. A line that began with a blank or a tab became part of the value before it. A zero byte in the reason passed, too.

Cause: the package's HTTP parser is built without its strict mode: it takes a blank as a character of a name, and it joins a line that begins with a blank to the one before it. Names with other control bytes it refuses already; these rows of the test are kept.

Ruled out: a check of the names that the parser reports: it reports no line that it joined to the value before, and none of the name where the value is empty and folded.

Change: net/answer_head checks each line before the parser gets the head: a name of the characters that HTTP allows, a colon, and no control byte but tabs in any line. HTTP lets a router refuse joined lines.

--- a/src/net/answer_head.cpp
+++ b/src/net/answer_head.cpp
@@ -9,6 +9,9 @@
 constexpr std::string_view VersionPrefix = "HTTP/1.";
 /// The answer to a request to change the protocol, which no call makes.
 constexpr std::string_view SwitchingProtocols = "101";
+/// What the name of a field may hold beside letters and digits.
+constexpr std::string_view NameSymbols = "!#$%&'*+-.^_`|~";
+constexpr unsigned char Delete = 0x7f;
 
 bool isDigit(char C) noexcept { return C >= '0' && C <= '9'; }
 
@@ -18,9 +21,39 @@
          Text.front() >= '1' && Text.front() <= '5';
 }
 
+bool isLetter(char C) noexcept {
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z');
+}
+
+/// True for the characters of a field's name.
+bool isNameChar(char C) noexcept {
+  return isLetter(C) || isDigit(C) ||
+         NameSymbols.find(C) != std::string_view::npos;
+}
+
+/// True for a byte that no line of a head may hold. A tab separates words.
+bool isControlByte(char C) noexcept {
+  const auto Byte = static_cast<unsigned char>(C);
+  return (Byte < ' ' && Byte != '\t') || Byte == Delete;
+}
+
+bool hasControlByte(std::string_view Line) noexcept {
+  return std::any_of(Line.begin(), Line.end(), isControlByte);
+}
+
+/// True for `name: value` on one line. A line that begins with a blank would
+/// continue the one before it; HTTP lets a router refuse that.
+bool isField(std::string_view Line) noexcept {
+  const auto Colon = Line.find(':');
+  const std::string_view Name = Line.substr(0, Colon);
+  return Colon != std::string_view::npos && !Name.empty() &&
+         std::all_of(Name.begin(), Name.end(), isNameChar) &&
+         !hasControlByte(Line.substr(Colon));
+}
+
 /// True for `HTTP/1.x status reason`, in which the reason may be absent.
 bool isStatusLine(std::string_view Line) noexcept {
-  if (!Line.starts_with(VersionPrefix)) {
+  if (!Line.starts_with(VersionPrefix) || hasControlByte(Line)) {
     return false;
   }
   Line.remove_prefix(VersionPrefix.size());
@@ -34,11 +67,12 @@
 
 /// The state of the head after one more line, which is without its end.
 head_state stateAfter(answer_head &Head, std::string_view Line) noexcept {
-  if (Head.HasStatusLine) {
-    return Line.empty() ? head_state::Complete : head_state::Incomplete;
-  }
   if (Line.empty()) {
-    return head_state::Incomplete; // skipped by the parser, too
+    // The parser skips empty lines before an answer.
+    return Head.HasStatusLine ? head_state::Complete : head_state::Incomplete;
+  }
+  if (Head.HasStatusLine) {
+    return isField(Line) ? head_state::Incomplete : head_state::MalformedField;
   }
   Head.HasStatusLine = true;
   return isStatusLine(Line) ? head_state::Incomplete
--- a/src/net/answer_head.h
+++ b/src/net/answer_head.h
@@ -17,6 +17,7 @@
   Incomplete,          ///< more bytes are needed
   Complete,            ///< the empty line that ends it was read
   MalformedStatusLine, ///< no HTTP/1 answer, or a status that answers nothing
+  MalformedField,      ///< a line that is no field, or a control byte
   TooLong,             ///< over `MaxAnswerHeadBytes`
 };
 
@@ -50,6 +51,7 @@
       {net::head_state::Incomplete, "incomplete"},
       {net::head_state::Complete, "complete"},
       {net::head_state::MalformedStatusLine, "malformed_status_line"},
+      {net::head_state::MalformedField, "malformed_field"},
       {net::head_state::TooLong, "head_too_long"},
   };
 };
--- a/tests/net/test_answer_head.cpp
+++ b/tests/net/test_answer_head.cpp
@@ -37,6 +37,8 @@
   };
   const auto Complete = head_state::Complete;
   const auto BadStatus = head_state::MalformedStatusLine;
+  const auto BadField = head_state::MalformedField;
+  const std::string Line = "HTTP/1.1 200 OK\r\n";
   const std::vector<row> Rows = {
       {"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", Complete},
       {"HTTP/1.0 503 Service Unavailable\r\n\r\n", Complete},
@@ -62,6 +64,31 @@
       {"HTTP/2.0 200 OK\r\n", BadStatus},
       {"HTTP/1.1 101 Switching Protocols\r\n", BadStatus},
       {"hello\r\n", BadStatus},
+      {"HTTP/1.1 200 O\x01K\r\n", BadStatus},
+      {"HTTP/1.1 200 O\rK\r\n", BadStatus},
+      {Line + "!#$%&'*+-.^_`|~aZ09: b\r\n\r\n", Complete},
+      {Line + "A:\r\nB:b\r\nC: \r\n\r\n", Complete},
+      {Line + "A: b c\td : \xc3\xa4\xff\r\n\r\n", Complete},
+      {Line + "A b: c\r\n", BadField},
+      {Line + "A : b\r\n", BadField},
+      {Line + " A: b\r\n", BadField},
+      {Line + "A: b\r\n c\r\n", BadField},
+      {Line + "A: b\r\n\tc: d\r\n", BadField},
+      {Line + " \r\n", BadField},
+      {Line + "A\tb: c\r\n", BadField},
+      {Line + "A\x01: c\r\n", BadField},
+      {Line + "A" + std::string(1, 0) + "b: c\r\n", BadField},
+      {Line + "A\x7f: c\r\n", BadField},
+      {Line + "A\xe4: c\r\n", BadField},
+      {Line + "A\rB: c\r\n", BadField},
+      {Line + "A(b): c\r\n", BadField},
+      {Line + ": c\r\n", BadField},
+      {Line + "A\r\n", BadField},
+      {Line + "\r\r\n", BadField},
+      {Line + "A: b\x1f\r\n", BadField},
+      {Line + "A: b" + std::string(1, 0) + "c\r\n", BadField},
+      {Line + "A: b\rC: d\r\n", BadField},
+      {Line + "A: b\x7f\r\n", BadField},
   };
   for (const auto &Row : Rows) {
     for (const std::size_t PieceBytes : {1, 2, 3, 7, 1000}) {
--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -245,3 +245,50 @@
     }
   }
 }
+
+// Guards against a head with a line that is no field, which reaches the caller
+// or hides where the body ends.
+TEST_CASE("an answer with a malformed field reaches no caller") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Stamp: s\r\n";
+  const std::string Length = "Content-Length: 3\r\n";
+  const std::string Body = "\r\nbad";
+  const std::vector<std::pair<std::string, std::string>> Rows = {
+      {"a blank in a name", Head + "My Name: a\r\n" + Length + Body},
+      {"a blank behind a name", Head + "Name : a\r\n" + Length + Body},
+      {"a blank before the first name",
+       "HTTP/1.1 200 OK\r\n Name: a\r\nAttempt-Id: r1\r\nServer-Stamp: s\r\n" +
+           Length + Body},
+      {"a blank before a name", Head + " Name: a\r\n" + Length + Body},
+      {"a tab before a name", Head + "\tName: a\r\n" + Length + Body},
+      {"a tab in a name", Head + "My\tName: a\r\n" + Length + Body},
+      {"a control byte in a name", Head + "My\x01Name: a\r\n" + Length + Body},
+      {"a zero byte in a name",
+       Head + "My" + std::string(1, 0) + "Name: a\r\n" + Length + Body},
+      {"a DEL in a name", Head + "My\x7fName: a\r\n" + Length + Body},
+      {"a carriage return in a name", Head + "My\rName: a\r\n" + Length + Body},
+      {"a blank in the name of the length",
+       Head + "Content Length: 3\r\n" + Body + "more"},
+      {"a blank before the name of the length",
+       Head + " Content-Length: 3\r\n" + Body + "more"},
+      {"a blank behind the name of the length",
+       Head + "Content-Length : 3\r\n" + Body + "more"},
+      {"a blank in the name of the encoding",
+       Head + "Transfer Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+      {"a blank behind the name of the encoding",
+       Head + "Transfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+      {"a blank in the name of an interim answer",
+       "HTTP/1.1 103 Early\r\nMy Name: a\r\n\r\n" + Head + Length + Body},
+      {"no name", Head + ": a\r\n" + Length + Body},
+      {"no colon", Head + "Name\r\n" + Length + Body},
+      {"a control byte in a value", Head + "Name: a\x01z\r\n" + Length + Body},
+      {"a zero byte in the reason", "HTTP/1.1 200 O" + std::string(1, 0) +
+                                        "K\r\nAttempt-Id: r1\r\n" +
+                                        "Server-Stamp: s\r\n" + Length + Body},
+      {"a carriage return in place of the empty line", Head + Length + "\rbad"},
+  };
+  for (const auto &[Name, Bytes] : Rows) {
+    CAPTURE(Name);
+    checkRefused({Bytes, after::Close});
+  }
+}
