An early answer that is reset is not complete

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part, or nothing, as a complete 200.

Cause: a connection reports its error once. While the request is written, the write takes the reset (its handler only noted that not all was written), and the next read finds an orderly end, which completes an answer without a length.

Ruled out: to look at the write's result alone when the end is read.

Change: net/client_connection keeps how the write ended. At the end of a connection it waits for a running write's queued result, and after a failed write an answer without a length is broken: the caller gets 502 or a stream that ends incomplete, and a request that may be repeated goes to another upstream. An answer with a length or chunks that was read whole stays complete, as before.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -119,7 +119,8 @@
   OnEnd = std::move(NewOnEnd);
   OnIdleEnd = nullptr;
   RequestHead = requestHead(Call);
-  Written = AnySent = AnswerBegun = AnswerDone = SkipAnswer = false;
+  Write = write_state::Running;
+  AnySent = AnswerBegun = AnswerDone = SkipAnswer = false;
   BytesRead = BodyBytes = 0;
   Deadline = monotonic_clock::now() + Call.Timeout;
   http_parser_init(&Parser, HTTP_RESPONSE);
@@ -195,7 +196,6 @@
     end(call_outcome::NothingSent);
     return;
   }
-  Writing = true;
   AnySent = true;
   const std::string_view Body = bodyOf(Call);
   const std::array<asio::const_buffer, 2> Buffers = {asio::buffer(RequestHead),
@@ -204,7 +204,6 @@
                     // The call may end before its body is written.
                     [Self = shared_from_this(), Body = Call.Body](
                         const asio::error_code &Code, std::size_t Bytes) {
-                      Self->Writing = false;
                       if (Self->Closed) {
                         return;
                       }
@@ -215,7 +214,8 @@
                       }
                       // After a partial write the reading side reports what the
                       // server says.
-                      Self->Written = !Code;
+                      Self->Write =
+                          Code ? write_state::Failed : write_state::Done;
                     });
   if (!Reading) {
     read();
@@ -327,19 +327,35 @@
 }
 
 void client_connection::onReadEnd(const asio::error_code &Error) {
+  if (Error != asio::error::eof) {
+    end(brokenOutcome());
+  } else if (Write == write_state::Running) {
+    // A connection reports its error once. If a write has taken it, the read
+    // finds an orderly end, and the result of the write is queued already.
+    asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+      if (!Self->Closed) {
+        Self->onServerClosed();
+      }
+    });
+  } else {
+    onServerClosed();
+  }
+}
+
+void client_connection::onServerClosed() {
   static const http_parser_settings Settings = parserSettings();
   const auto Self = shared_from_this();
-  if (Error == asio::error::eof) {
+  if (Write != write_state::Failed) {
     // An answer without a length is complete when its connection ends.
     http_parser_execute(&Parser, &Settings, nullptr, 0);
     if (Closed) {
       return;
     }
-    if (AnswerDone) {
-      Stray = true;
-      end(call_outcome::Complete);
-      return;
-    }
+  }
+  if (AnswerDone) {
+    Stray = true;
+    end(call_outcome::Complete);
+    return;
   }
   end(brokenOutcome());
 }
@@ -371,7 +387,7 @@
 }
 
 std::optional<instant> client_connection::reusableUntil() const {
-  if (Call.FreshConnection || Stray || !Written ||
+  if (Call.FreshConnection || Stray || Write != write_state::Done ||
       http_should_keep_alive(&Parser) == 0) {
     return std::nullopt;
   }
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -23,6 +23,13 @@
   std::optional<instant> ReusableUntil;
 };
 
+/// How far a call's request was written.
+enum class write_state {
+  Running, ///< not to its end yet
+  Done,    ///< the whole request was handed to the kernel
+  Failed,  ///< the connection's error was reported to the write
+};
+
 /// One connection to a server and at most one call on it at a time. A request
 /// is written once and never repeated, so a call that may not run twice can
 /// use a kept connection. Use it on the thread that runs the io_context only.
@@ -70,6 +77,7 @@
   /// How a call ends whose answer is not read to its end.
   [[nodiscard]] call_outcome brokenOutcome() const noexcept;
   void onReadEnd(const asio::error_code &Error);
+  void onServerClosed();
   void onIdleRead();
   void end(call_outcome Outcome);
   [[nodiscard]] std::optional<instant> reusableUntil() const;
@@ -107,9 +115,8 @@
 
   bool Connected = false;
   bool Reading = false;
-  bool Writing = false;
-  bool Written = false;     ///< the whole request was handed to the kernel
-  bool AnySent = false;     ///< some of it was
+  write_state Write = write_state::Running;
+  bool AnySent = false;     ///< some of the request was handed to the kernel
   bool AnswerBegun = false; ///< headers of this call's answer arrived
   bool SkipAnswer = false;  ///< the answer being read belongs to no call
   bool AnswerDone = false;
--- a/tests/platform/flow_fixture.h
+++ b/tests/platform/flow_fixture.h
@@ -120,13 +120,14 @@
   }
 
   /// Starts a request. Its id is unique unless `Headers` has one.
-  std::shared_ptr<recorded_exchange> start(net::http_headers Headers = {}) {
+  std::shared_ptr<recorded_exchange> start(net::http_headers Headers = {},
+                                           std::string Body = {}) {
     Headers.emplace_back("Host", "h");
     if (net::headerOf(Headers, "Attempt-Id").empty()) {
       Headers.emplace_back("Attempt-Id", "r" + std::to_string(++LastRequest));
     }
-    auto Exchange = std::make_shared<recorded_exchange>(
-        net::http_request{"GET", "/p/x", std::move(Headers), "", ""});
+    auto Exchange = std::make_shared<recorded_exchange>(net::http_request{
+        "GET", "/p/x", std::move(Headers), std::move(Body), ""});
     traffic::handleRequest(Traffic, Exchange);
     return Exchange;
   }
@@ -150,8 +151,9 @@
   }
 
   /// Sends a request and waits for its end.
-  std::shared_ptr<recorded_exchange> request(net::http_headers Headers = {}) {
-    auto Exchange = start(std::move(Headers));
+  std::shared_ptr<recorded_exchange> request(net::http_headers Headers = {},
+                                             std::string Body = {}) {
+    auto Exchange = start(std::move(Headers), std::move(Body));
     runUntil([&] { return Exchange->Ended; });
     return Exchange;
   }
--- a/tests/platform/scripted_upstream.h
+++ b/tests/platform/scripted_upstream.h
@@ -5,9 +5,11 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 
+#include <chrono>
 #include <functional>
 #include <istream>
 #include <memory>
@@ -18,14 +20,21 @@
 
 /// What an upstream sends for one request, byte for byte.
 struct scripted_reply {
-  enum class after { Keep, Close, Reset };
+  enum class after {
+    Keep,
+    Close,
+    Reset,
+    ResetLater, ///< when the router has had time to read the answer
+    Finish,     ///< closes the sending side and goes on reading
+  };
   std::string Bytes;
   after After = after::Keep;
 };
 
 /// An upstream that answers each request by a function of its headers. Runs on
-/// the event loop of the test, so that a test needs no threads. Requests must
-/// have no body.
+/// the event loop of the test, so that a test needs no threads. It answers as
+/// soon as it has a request's head, and takes a long body slowly; only the last
+/// request on a connection may have one.
 class scripted_upstream {
 public:
   using reply_function =
@@ -34,6 +43,8 @@
   scripted_upstream(asio::io_context &Io, reply_function Reply)
       : Acceptor(Io, {asio::ip::address_v4::loopback(), 0}),
         Reply(std::move(Reply)) {
+    constexpr int WindowBytes = 4096;
+    Acceptor.set_option(asio::socket_base::receive_buffer_size(WindowBytes));
     accept();
   }
 
@@ -93,6 +104,19 @@
       read(Connection);
       return;
     }
+    if (After == scripted_reply::after::Finish) {
+      Connection->Socket.shutdown(tcp::socket::shutdown_send);
+      read(Connection);
+      return;
+    }
+    if (After == scripted_reply::after::ResetLater) {
+      const auto Timer = std::make_shared<asio::steady_timer>(
+          Acceptor.get_executor(), std::chrono::milliseconds(5));
+      Timer->async_wait([this, Connection, Timer](const asio::error_code &) {
+        finish(Connection, scripted_reply::after::Reset);
+      });
+      return;
+    }
     if (After == scripted_reply::after::Reset) {
       Connection->Socket.set_option(asio::socket_base::linger(true, 0));
     }
--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -29,10 +29,13 @@
                     "Content-Type: text/event-stream\r\n" + Framing + "\r\n");
 }
 
+/// More than the buffers between a router and a scripted upstream hold.
+const std::string LongBody(std::size_t{16} << 20U, 'x');
+
 /// A caller's request fails when its upstream answers it with these bytes.
 /// Repeated at another upstream, it succeeds; it is not repeated where it may
 /// run only once.
-void checkRefused(const scripted_reply &Broken) {
+void checkRefused(const scripted_reply &Broken, const std::string &Body = {}) {
   struct row {
     route_options Route;
     bool Repeated;
@@ -48,7 +51,7 @@
       return ++Calls == 1 ? Broken : answerTo(Request, "200 OK");
     };
     flow_fixture Router(Row.Route, {Reply, Reply});
-    const auto Exchange = Router.request({{"Deadline-Ms", "5000"}});
+    const auto Exchange = Router.request({{"Deadline-Ms", "5000"}}, Body);
     CHECK(Exchange->Status == (Row.Repeated ? 200 : 502));
     CHECK(Exchange->Body.find("bad") == std::string::npos);
     CHECK(Calls == (Row.Repeated ? 2 : 1));
@@ -292,3 +295,39 @@
     checkRefused({Bytes, after::Close});
   }
 }
+
+// Guards against an answer without a length that is cut off by a reset while
+// the request's body is still written, and that looks complete: the write takes
+// the error of the connection, and the read then finds its end.
+TEST_CASE("an early answer that is reset is no success") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Stamp: s\r\n";
+  for (int Run = 0; Run < 20; ++Run) {
+    for (const auto After : {after::Reset, after::ResetLater}) {
+      CAPTURE(Run, static_cast<int>(After));
+      checkRefused({Head + "\r\nbad", After}, LongBody);
+      checkRefused({Head + "\r\n", After}, LongBody);
+    }
+  }
+}
+
+// Guards against a whole answer that is taken for a broken one because the
+// upstream did not wait for the request's body.
+TEST_CASE("an early answer that is whole is passed on") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Stamp: s\r\n";
+  const std::vector<scripted_reply> Rows = {
+      {Head + "\r\nok", after::Finish},
+      {Head + "Content-Length: 2\r\n\r\nok", after::Keep},
+      {Head + "Content-Length: 2\r\n\r\nok", after::Reset},
+      {Head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+       after::Reset},
+  };
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Bytes, static_cast<int>(Row.After));
+    flow_fixture Router({NonIdempotent}, {[&](const auto &) { return Row; }});
+    const auto Exchange = Router.request({{"Deadline-Ms", "5000"}}, LongBody);
+    CHECK(Exchange->Status == 200);
+    CHECK(Exchange->Body == "ok");
+  }
+}
