The command line takes a broken answer for a lost one

What operators saw: a write whose answer had a status above 599, or a head with a malformed field, counted as answered: "rejected", or carried out with a body that may not be the server's. Both say more than the bytes do; the write may be in force.

Cause: cli/http_transport reads by libcurl, which takes such heads.

Evidence: "a broken answer counts as a lost one" before: 14 of 26 checks failed (status 600 and 999, names with a blank in, behind and before them or a control byte, also in an interim answer). Already handled by libcurl, rows kept: the status 000, a zero byte in a name, a cut body, an answer without a length that is reset, also during a long upload.

Change: each line of a head goes through net/answer_head, and a broken one ends the transfer as a lost answer with its reason. The client then sends a write again under its id, and says that its outcome is unknown if no server answers, as for any lost answer.

Commands: build/test_cli "a broken answer counts as a lost one"; build/test_cli passes whole.

--- a/src/cli/http_transport.cpp
+++ b/src/cli/http_transport.cpp
@@ -1,8 +1,10 @@
 #include "cli/http_transport.h"
 
+#include "net/answer_head.h"
 #include <curl/curl.h>
 
 #include <memory>
+#include <string_view>
 
 namespace arbutus::cli {
 
@@ -30,6 +32,19 @@
   return Size * Count;
 }
 
+/// Receives one line of a head or of a trailer, with its end, and ends the
+/// transfer if it is none of HTTP: libcurl takes more than that.
+std::size_t checkHeadLine(char *Bytes, std::size_t Size, std::size_t Count,
+                          void *Target) {
+  auto &Head = *static_cast<net::answer_head *>(Target);
+  const std::string_view Line(Bytes, Size * Count);
+  if (Head.State == net::head_state::Complete && Line.starts_with("HTTP/")) {
+    Head = {}; // of the answer behind an interim one
+  }
+  net::readHead(Head, Line);
+  return net::isBroken(Head) ? 0 : Line.size();
+}
+
 api_response performRequest(const std::string &Server,
                             const api_request &Request,
                             const std::string &OperatorKey) {
@@ -55,6 +70,7 @@
     AddHeader("X-Request-Id: " + Request.RequestId);
   }
   api_response Response;
+  net::answer_head Head;
   const std::string Url = "http://" + Server + Request.Target;
   CURL *Curl = Handle.get();
   curl_easy_setopt(Curl, CURLOPT_URL, Url.c_str());
@@ -64,6 +80,8 @@
   curl_easy_setopt(Curl, CURLOPT_CUSTOMREQUEST, Request.Method.c_str());
   curl_easy_setopt(Curl, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
   curl_easy_setopt(Curl, CURLOPT_TIMEOUT_MS, RequestTimeoutMs);
+  curl_easy_setopt(Curl, CURLOPT_HEADERFUNCTION, checkHeadLine);
+  curl_easy_setopt(Curl, CURLOPT_HEADERDATA, &Head);
   curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, appendBody);
   curl_easy_setopt(Curl, CURLOPT_WRITEDATA, &Response.Body);
   if (!Request.Body.empty()) {
@@ -83,7 +101,9 @@
   }
   Response.Delivery = ConnectTimeUs > 0 ? delivery_status::ResponseLost
                                         : delivery_status::NotSent;
-  Response.Reason = curl_easy_strerror(Code);
+  Response.Reason = net::isBroken(Head) ? "unreadable answer: " +
+                                              std::string(nameOf(Head.State))
+                                        : curl_easy_strerror(Code);
   return Response;
 }
 
