A name with a control byte in the list names no upstream

What upstreams would see: the platform's list gives an instance the id "i-1 CR LF Tenant: a". Each request to that instance then has a header of the list's writer, here another team, because the id stands in a header. The token of the next page stands in a request target in the same way, so that a blank or a line end in it changes the request for that page.

Cause: platform/instance_codec took each text that is not empty as an id, and put the token into the target as it came.

--- a/tests/platform/test_platform_codecs.cpp
+++ b/tests/platform/test_platform_codecs.cpp
@@ -238,6 +238,10 @@
       {"\"slots\":64", "\"slots\":\"64\"", false},
       {"10.0.0.9:80", "host:80", false},
       {"\"id\":\"i-1\"", "\"id\":7", false},
+      {"\"id\":\"i-1\"", "\"id\":\"i 1\"", false},
+      {"\"id\":\"i-1\"", R"("id":"i-1\r\nTenant: a")", false},
+      {"\"id\":\"i-1\"", R"("id":"i\u00001")", false},
+      {"\"id\":\"i-1\"", "\"id\":\"i\x7f\"", false},
       {"\"zone\":\"a\",", "", false},
       {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":null", false},
   };
@@ -264,6 +268,9 @@
   }
   CHECK(instancesTarget(std::nullopt) == "/instances");
   CHECK(instancesTarget("p-50") == "/instances?page_token=p-50");
+  // A token must not end the request line of the call that it stands in.
+  CHECK(instancesTarget("p 5\r\nA: b\xc3") ==
+        "/instances?page_token=p%205%0D%0AA:%20b%C3");
 }
 
 // Guards against an operator's request that is translated into a wrong one.
