A body is read by no other framing than its own

What callers saw: an answer in chunks whose lines do not end as the protocol says (a chunk longer than its size, a size or a last chunk that ends with a carriage return alone) was passed on as a complete 200. With an encoding that is not chunked alone ("chunke", "gzip, chunked") they got the text of the chunks, or encoded bytes, as the body.

Cause: as for the names of fields, the package's HTTP parser is built without its strict mode; it takes any bytes for the end of a line between chunks. A transfer coding that it does not know it reads up to the end of the connection, and the router drops the header that names it.

Ruled out: a reader of chunks of our own; the parser's pauses show the two bytes in question.

Change: net/client_connection lets the parser pause behind each line of the framing and checks that it ended with CR LF; any transfer coding but chunked ends the call before its head is given on. The call ends as a broken answer. Kept as they were: extensions of chunks, and trailers, which are not passed on.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -91,6 +91,16 @@
   return Text;
 }
 
+/// True if the body is in a transfer coding that the parser does not undo.
+bool hasUnknownTransferCoding(const http_headers &Headers) {
+  return std::any_of(Headers.begin(), Headers.end(), [](const auto &Header) {
+    const std::string_view Value = Header.second;
+    const auto Coding = Value.substr(0, Value.find_last_not_of(" \t") + 1);
+    return sameHeaderName(Header.first, "Transfer-Encoding") &&
+           !sameHeaderName(Coding, "chunked");
+  });
+}
+
 /// Seconds of `Keep-Alive: timeout=N`, or nothing.
 std::optional<duration> keepAliveOf(const http_headers &Headers) {
   const std::string_view Value = headerOf(Headers, "Keep-Alive");
@@ -126,6 +136,7 @@
   http_parser_init(&Parser, HTTP_RESPONSE);
   Parser.data = this;
   Head = {};
+  BodyFault = body_fault::None;
   resetAnswer();
   if (Connected) {
     armCallTimer();
@@ -283,27 +294,40 @@
 }
 
 std::size_t client_connection::readAnswer(std::string_view Bytes) {
-  static const http_parser_settings Settings = parserSettings();
   if (Head.State == head_state::Complete) {
-    const std::size_t Used =
-        http_parser_execute(&Parser, &Settings, Bytes.data(), Bytes.size());
-    onParsed();
-    return Used;
+    return parse(Bytes);
   }
   const std::size_t Used = readHead(Head, Bytes);
   if (Head.State == head_state::Complete) {
-    const std::string Text = std::exchange(Head.Text, {});
-    http_parser_execute(&Parser, &Settings, Text.data(), Text.size());
-    onParsed();
+    parse(std::exchange(Head.Text, {}));
   }
   return Used;
 }
 
-void client_connection::onParsed() {
+std::size_t client_connection::parse(std::string_view Bytes) {
+  static const http_parser_settings Settings = parserSettings();
+  const std::size_t Used =
+      http_parser_execute(&Parser, &Settings, Bytes.data(), Bytes.size());
+  const std::size_t Kept = std::min(Used, LastParsed.size());
+  for (const char Byte : Bytes.substr(Used - Kept, Kept)) {
+    LastParsed = {LastParsed[1], Byte};
+  }
   if (HTTP_PARSER_ERRNO(&Parser) == HPE_PAUSED) {
-    // The end of an answer; what follows begins with a head.
     http_parser_pause(&Parser, 0);
-    Head = {};
+    onParserPaused();
+  }
+  return Used;
+}
+
+void client_connection::onParserPaused() {
+  // The parser takes any bytes for the end of a line between chunks.
+  const bool IsChunked = (Parser.flags & F_CHUNKED) != 0;
+  const bool LineEnded = LastParsed == std::array<char, 2>{'\r', '\n'};
+  if (IsChunked && !LineEnded) {
+    BodyFault = body_fault::MalformedChunk;
+    AnswerDone = false;
+  } else if (Stop == parser_stop::AnswerEnd) {
+    Head = {}; // what follows begins with a head
   }
 }
 
@@ -311,6 +335,9 @@
   if (isBroken(Head)) {
     return nameOf(Head.State);
   }
+  if (BodyFault != body_fault::None) {
+    return nameOf(BodyFault);
+  }
   const auto Error = HTTP_PARSER_ERRNO(&Parser);
   return Error == HPE_OK ? std::string_view() : http_errno_name(Error);
 }
@@ -493,6 +520,15 @@
   Settings.on_message_complete = [](http_parser *Parser) {
     return of(Parser).onMessageComplete();
   };
+  Settings.on_chunk_header = [](http_parser *Parser) {
+    return of(Parser).pauseParser(parser_stop::ChunkSize);
+  };
+  Settings.on_chunk_complete = [](http_parser *Parser) {
+    // The last chunk ends with the answer.
+    return (Parser->flags & F_TRAILING) != 0
+               ? 0
+               : of(Parser).pauseParser(parser_stop::ChunkEnd);
+  };
   return Settings;
 }
 
@@ -505,6 +541,10 @@
   if (Status < 200) {
     return NoBody; // whatever an interim answer says of its length
   }
+  if (hasUnknownTransferCoding(Headers)) {
+    BodyFault = body_fault::UnknownTransferCoding;
+    return EndParser;
+  }
   SkipAnswer = Call.IsAnswer && !Call.IsAnswer(Headers);
   if (SkipAnswer) {
     Stray = true;
@@ -523,6 +563,11 @@
   const bool Interim = Parser.status_code < 200;
   AnswerDone = !Interim && !SkipAnswer;
   SkipAnswer = false;
+  return pauseParser(parser_stop::AnswerEnd);
+}
+
+int client_connection::pauseParser(parser_stop At) noexcept {
+  Stop = At;
   http_parser_pause(&Parser, 1);
   return 0;
 }
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -30,6 +30,20 @@
   Failed,  ///< the connection's error was reported to the write
 };
 
+/// Why the body of an answer cannot be read.
+enum class body_fault {
+  None,
+  MalformedChunk,        ///< a line of the framing does not end as such
+  UnknownTransferCoding, ///< not chunked alone; it would be passed on encoded
+};
+
+/// Where the parser pauses, so that the bytes before it can be checked.
+enum class parser_stop {
+  ChunkSize, ///< behind the line with the size of a chunk
+  ChunkEnd,  ///< behind the line end of a chunk
+  AnswerEnd,
+};
+
 /// One connection to a server and at most one call on it at a time. A request
 /// is written once and never repeated, so a call that may not run twice can
 /// use a kept connection. Use it on the thread that runs the io_context only.
@@ -70,7 +84,9 @@
   /// Reads bytes up to the end of a head or of an answer at the most, and
   /// returns how many these are.
   std::size_t readAnswer(std::string_view Bytes);
-  void onParsed();
+  /// Gives bytes to the parser until it pauses; returns how many it took.
+  std::size_t parse(std::string_view Bytes);
+  void onParserPaused();
   /// Why the answer cannot be read on, or nothing.
   [[nodiscard]] std::string_view answerFault() const noexcept;
   [[nodiscard]] bool exceedsLimits() const noexcept;
@@ -88,6 +104,7 @@
 
   static http_parser_settings parserSettings() noexcept;
   static client_connection &of(http_parser *Parser) noexcept;
+  int pauseParser(parser_stop At) noexcept;
   int onHeadersComplete();
   int onMessageComplete();
 
@@ -108,6 +125,10 @@
   std::size_t BodyBytes = 0; ///< of them, bytes of the answer's body
   std::size_t HeadBytes = 0; ///< of the head that is read, with trailers
   answer_head Head;
+  parser_stop Stop{};
+  /// The last bytes that the parser took.
+  std::array<char, 2> LastParsed{};
+  body_fault BodyFault = body_fault::None;
   http_headers Headers;
   std::string Field;
   std::string Value;
@@ -126,4 +147,16 @@
 
 } // namespace arbutus::net::impl
 
+namespace arbutus {
+
+template <> struct name_table<net::impl::body_fault> {
+  static constexpr name_row<net::impl::body_fault> Rows[] = {
+      {net::impl::body_fault::None, "none"},
+      {net::impl::body_fault::MalformedChunk, "malformed_chunk"},
+      {net::impl::body_fault::UnknownTransferCoding, "unknown_transfer_coding"},
+  };
+};
+
+} // namespace arbutus
+
 #endif
--- a/tests/net/test_http_client.cpp
+++ b/tests/net/test_http_client.cpp
@@ -25,6 +25,8 @@
   enum class after { Keep, Close, Reset } After = after::Keep;
   /// False: the connection is closed before a request is read.
   bool ReadsRequest = true;
+  /// Sends byte by byte, so that the client reads them in many pieces.
+  bool Slow = false;
 };
 
 /// A server that follows a script: one list of replies for each connection, in
@@ -60,7 +62,7 @@
           }
           ++Requests;
         }
-        asio::write(Socket, asio::buffer(Reply.Text), Error);
+        write(Socket, Reply);
         if (Reply.After == reply::after::Reset) {
           Socket.set_option(asio::socket_base::linger(true, 0), Error);
         }
@@ -73,6 +75,19 @@
     }
   }
 
+  static void write(tcp::socket &Socket, const reply &Reply) {
+    asio::error_code Error; // a client that has closed needs no more
+    if (!Reply.Slow) {
+      asio::write(Socket, asio::buffer(Reply.Text), Error);
+      return;
+    }
+    Socket.set_option(tcp::no_delay(true), Error);
+    for (const char &Byte : Reply.Text) {
+      asio::write(Socket, asio::buffer(&Byte, 1), Error);
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+
   asio::io_context Io;
   tcp::acceptor Acceptor;
   std::vector<tcp::socket> Open;
@@ -133,6 +148,8 @@
     call_outcome Outcome;
     std::string Body;
   };
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::vector<row> Rows = {
       {"whole", {Ok}, call_outcome::Complete, "ok"},
       {"cut short",
@@ -165,6 +182,19 @@
        {"HTTP/1.1 100 Continue\r\n\r\n" + Ok},
        call_outcome::Complete,
        "ok"},
+      {"an interim answer first, byte by byte",
+       {"HTTP/1.1 100 Continue\r\n\r\n" + Ok, after::Keep, true, true},
+       call_outcome::Complete,
+       "ok"},
+      {"chunks, byte by byte",
+       {Chunked + "2\r\nok\r\n1;a=b\r\n!\r\n0\r\nA: b\r\n\r\n", after::Keep,
+        true, true},
+       call_outcome::Complete,
+       "ok!"},
+      {"a chunk longer than its size, byte by byte",
+       {Chunked + "2\r\nok!\r\n0\r\n\r\n", after::Keep, true, true},
+       call_outcome::AnswerBroken,
+       "ok"},
   };
   for (const auto &Row : Rows) {
     CAPTURE(Row.What);
--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -296,6 +296,32 @@
   }
 }
 
+// Guards against a body whose boundaries are not where its framing says, so
+// that the caller gets another body as a complete one.
+TEST_CASE("an answer with a malformed body reaches no caller") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Stamp: s\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Last = "0\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> Rows = {
+      {"a chunk longer than its size", Chunked + "3\r\nbadXY" + Last},
+      {"a chunk that ends with a line feed alone",
+       Chunked + "3\r\nbad\nX" + Last},
+      {"a size that ends with a carriage return alone",
+       Chunked + "3\rXbad\r\n" + Last},
+      {"a last chunk that ends with a carriage return alone",
+       Chunked + "3\r\nbad\r\n0\r\n\rX"},
+      {"an unknown encoding",
+       Head + "Transfer-Encoding: chunke\r\n\r\n3\r\nbad\r\n" + Last},
+      {"an encoding that is not asked for",
+       Head + "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nbad\r\n" + Last},
+  };
+  for (const auto &[Name, Bytes] : Rows) {
+    CAPTURE(Name);
+    checkRefused({Bytes, after::Close});
+  }
+}
+
 // Guards against an answer without a length that is cut off by a reset while
 // the request's body is still written, and that looks complete: the write takes
 // the error of the connection, and the read then finds its end.
