--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -282,6 +282,9 @@
        Head + "Transfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
       {"a blank in the name of an interim answer",
        "HTTP/1.1 103 Early\r\nMy Name: a\r\n\r\n" + Head + Length + Body},
+      {"a refusal that would prove that it did not run",
+       "HTTP/1.1 503 X\r\nAttempt-Id: r1\r\nNot-Executed: 1\r\nMy Name: a\r\n" +
+           Length + Body},
       {"no name", Head + ": a\r\n" + Length + Body},
       {"no colon", Head + "Name\r\n" + Length + Body},
       {"a control byte in a value", Head + "Name: a\x01z\r\n" + Length + Body},
