--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -328,19 +328,23 @@
 // Guards against bytes behind an answer that has no body by its status: the
 // caller would take them for the start of its next answer.
 TEST_CASE("an answer that has no body by its status is passed on without") {
-  const std::vector<std::pair<std::string, std::string>> Rows = {
+  struct row {
+    std::string Status;
+    std::string Rest;
+  };
+  const std::vector<row> Rows = {
       {"204 No Content", "Content-Length: 3\r\n\r\nbad"},
       {"204 No Content", "Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n"},
       {"304 Not Modified", "Content-Length: 800\r\n\r\n"},
   };
-  for (const auto &[Status, Rest] : Rows) {
-    CAPTURE(Status, Rest);
+  for (const auto &Row : Rows) {
+    CAPTURE(Row.Status, Row.Rest);
     const auto Reply = [&](const auto &Request) -> scripted_reply {
-      return {answerHead(Request, Status, Rest), after::Keep};
+      return {answerHead(Request, Row.Status, Row.Rest), after::Keep};
     };
     flow_fixture Router({NonIdempotent}, {Reply});
     const auto Exchange = Router.request({{"Deadline-Ms", "5000"}});
-    CHECK(Exchange->Status == std::stoi(Status));
+    CHECK(Exchange->Status == std::stoi(Row.Status));
     CHECK(Exchange->Body.empty());
   }
 }
