Split reading an answer from its connection

Change: net/answer_parser reads the answer to one call; net/client_connection keeps the socket, the write and the reuse. Code is moved and renamed; the parser's callbacks return named values. No behaviour is meant to change. Commands: build/test_net, build/test_platform and build/test_control pass whole, as before.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -22,30 +22,6 @@
 /// so that a request does not cross the server's close.
 constexpr duration KeepAliveMargin = 700ms;
 
-/// Bytes of one call that are no body of its answer: heads, interim answers,
-/// answers to other calls, chunk sizes and trailers. A faulty server may send
-/// these without end.
-constexpr std::size_t MaxFramingBytes = std::size_t{256} << 10U;
-/// Bytes and fields of one head with its trailers. They are kept until the
-/// answer ends, and a field takes more memory than its bytes.
-constexpr std::size_t MaxHeadBytes = std::size_t{64} << 10U;
-constexpr std::size_t MaxHeadFields = 200;
-/// Framing bytes that are allowed beyond that for each byte of the body. A
-/// chunk of one byte has five.
-constexpr std::size_t MaxFramingPerBodyByte = 8;
-
-/// What the parser is told when it has read a head.
-constexpr int BodyFollows = 0;
-constexpr int NoBody = 1;
-constexpr int EndParser = -1;
-
-/// Answers of these statuses have no body, whatever their head says of one.
-int bodyAfter(int Status) noexcept {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  return Status == NoContent || Status == NotModified ? NoBody : BodyFollows;
-}
-
 using user_timeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -98,16 +74,6 @@
   return Text;
 }
 
-/// True if the body is in a transfer coding that the parser does not undo.
-bool hasUnknownTransferCoding(const http_headers &Headers) {
-  return std::any_of(Headers.begin(), Headers.end(), [](const auto &Header) {
-    const std::string_view Value = Header.second;
-    const auto Coding = Value.substr(0, Value.find_last_not_of(" \t") + 1);
-    return sameHeaderName(Header.first, "Transfer-Encoding") &&
-           !sameHeaderName(Coding, "chunked");
-  });
-}
-
 /// Seconds of `Keep-Alive: timeout=N`, or nothing.
 std::optional<duration> keepAliveOf(const http_headers &Headers) {
   const std::string_view Value = headerOf(Headers, "Keep-Alive");
@@ -129,7 +95,8 @@
 
 client_connection::client_connection(asio::io_context &Io,
                                      asio::ip::tcp::endpoint Server)
-    : Socket(Io), Server(std::move(Server)), Timer(Io) {}
+    : Socket(Io), Server(std::move(Server)), Timer(Io),
+      Answer(Call, this->Server.address().to_string()) {}
 
 void client_connection::start(http_call NewCall, end_function NewOnEnd) {
   Call = std::move(NewCall);
@@ -137,14 +104,9 @@
   OnIdleEnd = nullptr;
   RequestHead = requestHead(Call);
   Write = write_state::Running;
-  AnySent = AnswerBegun = AnswerDone = SkipAnswer = false;
-  BytesRead = BodyBytes = 0;
+  AnySent = false;
   Deadline = monotonic_clock::now() + Call.Timeout;
-  http_parser_init(&Parser, HTTP_RESPONSE);
-  Parser.data = this;
-  Head = {};
-  BodyFault = body_fault::None;
-  resetAnswer();
+  Answer.start();
   if (Connected) {
     armCallTimer();
     write();
@@ -271,27 +233,24 @@
 
 void client_connection::onRead(std::string_view Bytes) {
   const auto Self = shared_from_this();
-  BytesRead += Bytes.size();
-  while (!Bytes.empty() && !AnswerDone && answerFault().empty()) {
-    Bytes.remove_prefix(readAnswer(Bytes));
-    if (Closed) {
-      return;
-    }
+  const std::size_t Used = Answer.read(Bytes);
+  if (Closed) {
+    return;
   }
-  if (AnswerDone) {
-    Stray = Stray || !Bytes.empty();
+  if (Answer.isComplete()) {
+    Stray = Stray || Used < Bytes.size();
     end(call_outcome::Complete);
     return;
   }
-  if (exceedsLimits()) {
+  if (Answer.isTooLong()) {
     logEvent(log_level::Warning, "answer_too_long",
              {{"server", Server.address().to_string()},
-              {"bytes", BytesRead},
-              {"body_bytes", BodyBytes}});
+              {"bytes", Answer.bytes()},
+              {"body_bytes", Answer.bodyBytes()}});
     end(brokenOutcome());
     return;
   }
-  if (const auto Fault = answerFault(); !Fault.empty()) {
+  if (const auto Fault = Answer.fault(); !Fault.empty()) {
     logEvent(log_level::Info, "answer_unreadable",
              {{"server", Server.address().to_string()}, {"reason", Fault}});
     end(brokenOutcome());
@@ -300,64 +259,9 @@
   read();
 }
 
-std::size_t client_connection::readAnswer(std::string_view Bytes) {
-  if (Head.State == head_state::Complete) {
-    return parse(Bytes);
-  }
-  const std::size_t Used = readHead(Head, Bytes);
-  if (Head.State == head_state::Complete) {
-    parse(std::exchange(Head.Text, {}));
-  }
-  return Used;
-}
-
-std::size_t client_connection::parse(std::string_view Bytes) {
-  static const http_parser_settings Settings = parserSettings();
-  const std::size_t Used =
-      http_parser_execute(&Parser, &Settings, Bytes.data(), Bytes.size());
-  const std::size_t Kept = std::min(Used, LastParsed.size());
-  for (const char Byte : Bytes.substr(Used - Kept, Kept)) {
-    LastParsed = {LastParsed[1], Byte};
-  }
-  if (HTTP_PARSER_ERRNO(&Parser) == HPE_PAUSED) {
-    http_parser_pause(&Parser, 0);
-    onParserPaused();
-  }
-  return Used;
-}
-
-void client_connection::onParserPaused() {
-  // The parser takes any bytes for the end of a line between chunks.
-  const bool IsChunked = (Parser.flags & F_CHUNKED) != 0;
-  const bool LineEnded = LastParsed == std::array<char, 2>{'\r', '\n'};
-  if (IsChunked && !LineEnded) {
-    BodyFault = body_fault::MalformedChunk;
-    AnswerDone = false;
-  } else if (Stop == parser_stop::AnswerEnd) {
-    Head = {}; // what follows begins with a head
-  }
-}
-
-std::string_view client_connection::answerFault() const noexcept {
-  if (isBroken(Head)) {
-    return nameOf(Head.State);
-  }
-  if (BodyFault != body_fault::None) {
-    return nameOf(BodyFault);
-  }
-  const auto Error = HTTP_PARSER_ERRNO(&Parser);
-  return Error == HPE_OK ? std::string_view() : http_errno_name(Error);
-}
-
-bool client_connection::exceedsLimits() const noexcept {
-  return BodyBytes > Call.MaxBodyBytes || HeadBytes > MaxHeadBytes ||
-         Headers.size() > MaxHeadFields ||
-         BytesRead >
-             BodyBytes + MaxFramingBytes + MaxFramingPerBodyByte * BodyBytes;
-}
-
 call_outcome client_connection::brokenOutcome() const noexcept {
-  return AnswerBegun ? call_outcome::AnswerBroken : call_outcome::SentNoAnswer;
+  return Answer.hasBegun() ? call_outcome::AnswerBroken
+                           : call_outcome::SentNoAnswer;
 }
 
 void client_connection::onReadEnd(const asio::error_code &Error) {
@@ -377,16 +281,14 @@
 }
 
 void client_connection::onServerClosed() {
-  static const http_parser_settings Settings = parserSettings();
   const auto Self = shared_from_this();
   if (Write != write_state::Failed) {
-    // An answer without a length is complete when its connection ends.
-    http_parser_execute(&Parser, &Settings, nullptr, 0);
+    Answer.readEnd();
     if (Closed) {
       return;
     }
   }
-  if (AnswerDone) {
+  if (Answer.isComplete()) {
     Stray = true;
     end(call_outcome::Complete);
     return;
@@ -421,11 +323,12 @@
 }
 
 std::optional<instant> client_connection::reusableUntil() const {
-  if (Call.FreshConnection || Stray || Write != write_state::Done ||
-      http_should_keep_alive(&Parser) == 0) {
+  if (Call.FreshConnection || Stray || Answer.hasSkipped() ||
+      Write != write_state::Done || !Answer.keepsAlive()) {
     return std::nullopt;
   }
-  const duration Kept = keepAliveOf(Headers).value_or(DefaultKeepAlive);
+  const duration Kept =
+      keepAliveOf(Answer.headers()).value_or(DefaultKeepAlive);
   if (Kept <= KeepAliveMargin) {
     return std::nullopt;
   }
@@ -452,6 +355,7 @@
 
 void client_connection::close() noexcept {
   Closed = true;
+  Answer.stop();
   OnEnd = nullptr;
   OnIdleEnd = nullptr;
   asio::error_code Ignored; // there is nothing left to do with the socket
@@ -459,124 +363,4 @@
   Timer.cancel();
 }
 
-void client_connection::resetAnswer() {
-  Headers.clear();
-  Field.clear();
-  Value.clear();
-  InValue = false;
-  HeadBytes = 0;
-}
-
-int client_connection::addHeadBytes(std::string &To, std::string_view Bytes) {
-  HeadBytes += Bytes.size();
-  if (HeadBytes > MaxHeadBytes || Headers.size() > MaxHeadFields) {
-    return 1; // ends the parser
-  }
-  To += Bytes;
-  return 0;
-}
-
-void client_connection::noteHeader() {
-  if (!Field.empty()) {
-    Headers.emplace_back(std::move(Field), std::move(Value));
-  }
-  Field.clear();
-  Value.clear();
-  InValue = false;
-}
-
-client_connection &client_connection::of(http_parser *Parser) noexcept {
-  return *static_cast<client_connection *>(Parser->data);
-}
-
-http_parser_settings client_connection::parserSettings() noexcept {
-  http_parser_settings Settings{};
-  Settings.on_message_begin = [](http_parser *Parser) {
-    of(Parser).resetAnswer();
-    return 0;
-  };
-  Settings.on_header_field = [](http_parser *Parser, const char *At,
-                                std::size_t Size) {
-    auto &Self = of(Parser);
-    if (Self.InValue) {
-      Self.noteHeader();
-    }
-    return Self.addHeadBytes(Self.Field, {At, Size});
-  };
-  Settings.on_header_value = [](http_parser *Parser, const char *At,
-                                std::size_t Size) {
-    auto &Self = of(Parser);
-    Self.InValue = true;
-    return Self.addHeadBytes(Self.Value, {At, Size});
-  };
-  Settings.on_headers_complete = [](http_parser *Parser) {
-    return of(Parser).onHeadersComplete();
-  };
-  Settings.on_body = [](http_parser *Parser, const char *At, std::size_t Size) {
-    auto &Self = of(Parser);
-    if (Self.SkipAnswer) {
-      return 0;
-    }
-    Self.BodyBytes += Size;
-    const bool TooLong = Self.BodyBytes > Self.Call.MaxBodyBytes;
-    if (!TooLong && Self.Call.OnBody) {
-      Self.Call.OnBody({At, Size});
-    }
-    return Self.Closed || TooLong ? 1 : 0;
-  };
-  Settings.on_message_complete = [](http_parser *Parser) {
-    return of(Parser).onMessageComplete();
-  };
-  Settings.on_chunk_header = [](http_parser *Parser) {
-    return of(Parser).pauseParser(parser_stop::ChunkSize);
-  };
-  Settings.on_chunk_complete = [](http_parser *Parser) {
-    // The last chunk ends with the answer.
-    return (Parser->flags & F_TRAILING) != 0
-               ? 0
-               : of(Parser).pauseParser(parser_stop::ChunkEnd);
-  };
-  return Settings;
-}
-
-int client_connection::onHeadersComplete() {
-  noteHeader();
-  if (Headers.size() > MaxHeadFields) {
-    return EndParser;
-  }
-  const int Status = Parser.status_code;
-  if (Status < 200) {
-    return NoBody; // whatever an interim answer says of its length
-  }
-  if (hasUnknownTransferCoding(Headers)) {
-    BodyFault = body_fault::UnknownTransferCoding;
-    return EndParser;
-  }
-  SkipAnswer = Call.IsAnswer && !Call.IsAnswer(Headers);
-  if (SkipAnswer) {
-    Stray = true;
-    logEvent(log_level::Info, "stray_answer",
-             {{"server", Server.address().to_string()}, {"status", Status}});
-    return bodyAfter(Status);
-  }
-  AnswerBegun = true;
-  if (Call.OnHeaders) {
-    Call.OnHeaders(Status, Headers);
-  }
-  return Call.Method == "HEAD" ? NoBody : bodyAfter(Status);
-}
-
-int client_connection::onMessageComplete() {
-  const bool Interim = Parser.status_code < 200;
-  AnswerDone = !Interim && !SkipAnswer;
-  SkipAnswer = false;
-  return pauseParser(parser_stop::AnswerEnd);
-}
-
-int client_connection::pauseParser(parser_stop At) noexcept {
-  Stop = At;
-  http_parser_pause(&Parser, 1);
-  return 0;
-}
-
 } // namespace arbutus::net::impl
