A broken answer is no evidence of a crash

What callers would see: upstreams that are up send bytes that are no answer; the prompts of these requests count as ones that may crash upstreams. Such a request is not repeated after half a second, and after three upstreams its segments are refused by the whole fleet.

Cause: an attempt without a whole answer counts as a lost upstream.

Not shown: a quarantine by broken answers; the leader's part was not run with them. Ruled out: an outcome of its own for such calls; what it proves of the request is the same.

Change: net/http_call tells that unreadable bytes came (OnUnreadable), and the gateway does not take that attempt's upstream for lost. A connection that ends inside an answer still is.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -253,6 +253,9 @@
   if (const auto Fault = Answer.fault(); !Fault.empty()) {
     logEvent(log_level::Info, "answer_unreadable",
              {{"server", Server.address().to_string()}, {"reason", Fault}});
+    if (Call.OnUnreadable) {
+      Call.OnUnreadable();
+    }
     end(brokenOutcome());
     return;
   }
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -42,6 +42,9 @@
   std::function<bool(const http_headers &)> IsAnswer;
   std::function<void(int Status, const http_headers &)> OnHeaders;
   std::function<void(std::string_view)> OnBody;
+  /// The server sent bytes that are no answer, so it is up. `OnDone` follows,
+  /// with `SentNoAnswer` or `AnswerBroken`.
+  std::function<void()> OnUnreadable;
   std::function<void(call_outcome)> OnDone;
 };
 
--- a/src/traffic/attempt_outcome.cpp
+++ b/src/traffic/attempt_outcome.cpp
@@ -36,7 +36,7 @@
   const bool ConnectionEnded = Outcome == net::call_outcome::SentNoAnswer ||
                                Outcome == net::call_outcome::AnswerBroken;
   return ConnectionEnded && !Request.Attempt.FirstEvent &&
-         !Request.Attempt.Oversized;
+         !Request.Attempt.Oversized && !Request.Attempt.Unreadable;
 }
 
 upstream_result upstreamResultOf(const traffic_request &Request,
--- a/src/traffic/attempt_outcome.h
+++ b/src/traffic/attempt_outcome.h
@@ -20,7 +20,8 @@
                                    net::call_outcome Outcome);
 
 /// True if the upstream was lost before it answered: its connection ended
-/// without a whole answer, or without a whole event of a stream.
+/// without a whole answer, or without a whole event of a stream. One that sends
+/// bytes that are no answer is up.
 [[nodiscard]] bool isUpstreamLost(const traffic_request &Request,
                                   net::call_outcome Outcome);
 
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -216,6 +216,7 @@
   Call.OnBody = [Request](std::string_view Bytes) {
     onCallBody(Request, Bytes);
   };
+  Call.OnUnreadable = [Request] { Request->Attempt.Unreadable = true; };
   Call.OnDone = [Request](net::call_outcome Outcome) {
     onCallDone(Request, Outcome);
   };
--- a/src/traffic/traffic_request.h
+++ b/src/traffic/traffic_request.h
@@ -38,6 +38,7 @@
   /// A whole event of a stream has arrived.
   bool FirstEvent = false;
   bool Oversized = false;
+  bool Unreadable = false; ///< bytes arrived that are no answer
   /// It was not sent, because its upstream became unusable meanwhile.
   bool Withheld = false;
 };
--- a/tests/platform/test_crash_quarantine.cpp
+++ b/tests/platform/test_crash_quarantine.cpp
@@ -117,3 +117,25 @@
   REQUIRE(Cleared.size() == 1);
   CHECK(number(Cleared[0]) == hashOf("a"));
 }
+
+// Guards against sound prompts that are suspected, not repeated and in the end
+// refused, because upstreams that are up answered them with broken answers.
+TEST_CASE("a broken answer is no evidence of a crash") {
+  const std::string Rest = "Attempt-Id: r1\r\nServer-Stamp: s\r\n";
+  const std::vector<std::string> Rows = {
+      "HTTP/1.1 000 X\r\n" + Rest + "Content-Length: 3\r\n\r\nbad",
+      "HTTP/1.1 200 OK\r\n" + Rest + "My Name: a\r\n\r\nbad",
+      "HTTP/1.1 200 OK\r\n" + Rest +
+          "Transfer-Encoding: chunked\r\n\r\n3\r\nbad!\r\n",
+      "no answer\r\n\r\n",
+  };
+  for (const auto &Bytes : Rows) {
+    CAPTURE(Bytes);
+    flow_fixture Router({Stream, false}, {[&](const auto &) {
+                          return scripted_reply{Bytes, after::Close};
+                        }});
+    CHECK(Router.request(withPrompt("a:10,x:1"))->Status == 502);
+    const auto Now = monotonic_clock::now();
+    CHECK(Router.Context.Crashes.findings(Now).Crashes.empty());
+  }
+}
