--- a/src/net/answer_parser.cpp
+++ b/src/net/answer_parser.cpp
@@ -94,8 +94,6 @@
   return Error == HPE_OK ? std::string_view() : http_errno_name(Error);
 }
 
-/// Reads to the end of a head, of a line between chunks or of an answer at the
-/// most.
 std::size_t answer_parser::readSome(std::string_view Bytes) {
   if (Head.State == head_state::Complete) {
     return parse(Bytes);
--- a/src/net/answer_parser.h
+++ b/src/net/answer_parser.h
@@ -73,6 +73,8 @@
   static http_parser_settings parserSettings() noexcept;
   static answer_parser &of(http_parser *Parser) noexcept;
 
+  /// Reads to the end of a head, of a line between chunks or of an answer at
+  /// the most.
   std::size_t readSome(std::string_view Bytes);
   std::size_t parse(std::string_view Bytes);
   void onPaused();
