What a text becomes when it is read is bounded before it is read

Requests that workers ran were never answered, and the order never got its 4xx.

Cause: a byte of JSON becomes up to some 80 bytes of values. Bodies are bounded by a memory of their own (net/body_memory), what they are read into was not. Three parts of it, each shown by the tests below alone: - the tree of values: nested brackets, but also flat lists of numbers, empty texts, arrays or objects, which a limit of the depth does not stop; - the entries of a list: a service that the text names with 12 bytes is a structure of some 100, and the reader went on after the first error; - the faults: the resource API collects every fault, some 2 KB for the three bytes of an empty entry.

Change: base/json_reader builds the value from the events of the library's parser, counts what it takes and stops at an eighth of memory_mb, divided by the I/O threads, or 128 levels. Lists of a configuration are read entry by entry and written likewise, so that valid ones of any length pass; their entries have another eighth (store/entry_memory). At most 100 faults are collected. Every reader of JSON from outside uses it: the gateway's operators, the resource API at the leader, chats, answers and events of engines, load reports, and the command line. json_refused and order_rejected log what was refused; refused orders were not logged before.

--- a/scripts/lib/gateway_fleet.py
+++ b/scripts/lib/gateway_fleet.py
@@ -36,6 +36,7 @@
 seeds = [{seeds}]
 seed_mesh_port = {mesh}
 bootstrap = true
+{fleet}
 
 [gateway]
 requests = "{ip}:{front}"
@@ -193,12 +194,12 @@
 class GatewayFleet:
     """`size` routers, all of them voters, at 127.`net`.0.N."""
 
-    def __init__(self, net, size, limits="", port_base=24000):
+    def __init__(self, net, size, limits="", port_base=24000, fleet=""):
         self.directory = tempfile.mkdtemp(prefix="arbutus-gateway-")
         self.net, self.base = net, port_base
         self.ips = ["127.%d.0.%d" % (net, i + 1) for i in range(size)]
         self.list = InstanceList(self.ip(200), port_base + 9)
-        self.limits = limits
+        self.limits, self.fleet = limits, fleet
         self.processes = {}
         self.workers = 0
         for i in range(size):
@@ -219,6 +220,7 @@
             ip=self.ips[index], http=base, mesh=base + 1, front=base + 2, ready=base + 3,
             operators=base + 4, addresses=base + 5, list_ip=self.ip(200),
             list_port=base + 9, limits=self.limits,
+            fleet=self.fleet,
             seeds=", ".join('"%s:%d"' % (ip, base + 4) for ip in self.ips[:3]))
         with open(os.path.join(self.folder(index), "settings.toml"), "w") as out:
             out.write(text)
--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -1,5 +1,7 @@
 #include "cli/api_client.h"
 
+#include "base/json_reader.h"
+
 #include <array>
 #include <cctype>
 #include <cstdio>
@@ -52,7 +54,7 @@
 
 /// Parses `{"error":{"type","message","details":[...]}}`.
 api_failure toFailure(const api_response &Response) {
-  const auto Body = json::parse(Response.Body, nullptr, false);
+  const auto Body = parseJson(Response.Body);
   const auto Error = Body.is_object() && Body.contains("error")
                          ? Body["error"]
                          : json::object();
@@ -73,11 +75,11 @@
   return Failure;
 }
 
-api_result<json> parseJson(api_result<std::string> &&Text) {
+api_result<json> parseAnswer(api_result<std::string> &&Text) {
   if (Text.has_error()) {
     return Text.error();
   }
-  auto Body = json::parse(Text.value(), nullptr, false);
+  auto Body = parseJson(Text.value());
   if (Body.is_discarded()) {
     return api_failure{exit_code::Rejected, 200, "malformed_answer",
                        "the answer is not JSON"};
@@ -98,21 +100,21 @@
       Wait(std::move(Wait)) {}
 
 api_result<json> api_client::get(const std::string &Target) {
-  return parseJson(send({"GET", Target, "", ""}));
+  return parseAnswer(send({"GET", Target, "", ""}));
 }
 
 api_result<json> api_client::put(const std::string &Kind,
                                  const std::string &Name, std::uint64_t Version,
                                  const json &Spec) {
   const json Body = {{"version", Version}, {"spec", Spec}};
-  return parseJson(
+  return parseAnswer(
       send({"PUT", resourceTarget(Kind, Name), Body.dump(), newRequestId()}));
 }
 
 api_result<json> api_client::erase(const std::string &Kind,
                                    const std::string &Name,
                                    std::uint64_t Version) {
-  return parseJson(
+  return parseAnswer(
       send({"DELETE",
             resourceTarget(Kind, Name) + "?version=" + std::to_string(Version),
             "", newRequestId()}));
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -1,5 +1,6 @@
 #include "cli/cli.h"
 
+#include "base/json_reader.h"
 #include "cli/command_line.h"
 #include "cli/explain.h"
 #include "cli/operator_command.h"
@@ -14,6 +15,9 @@
 
 namespace {
 
+/// Memory for the values of one answer of a server or of one file.
+constexpr std::size_t CommandJsonBytes = std::size_t{256} << 20U;
+
 int exitStatus(exit_code Code) noexcept { return static_cast<int>(Code); }
 
 int runWithSettings(const command &Command, const settings_handler &Serve,
@@ -37,6 +41,7 @@
 }
 
 int runAgainstServers(const command &Command) {
+  setJsonMemory(CommandJsonBytes);
   std::string Key;
   if (!Command.OperatorKeyFile.empty()) {
     auto KeyFile = settings::readKeyFile(Command.OperatorKeyFile);
--- a/src/cli/operator_command.cpp
+++ b/src/cli/operator_command.cpp
@@ -1,5 +1,6 @@
 #include "cli/operator_command.h"
 
+#include "base/json_reader.h"
 #include "cli/resource_file.h"
 #include "cli/rollout_command.h"
 #include "cli/table_text.h"
@@ -171,7 +172,7 @@
     }
     std::istringstream Stream(Lines.value());
     for (std::string Line; std::getline(Stream, Line);) {
-      const auto Change = json::parse(Line, nullptr, false);
+      const auto Change = parseJson(Line);
       SinceRevision = std::max(SinceRevision, integerField(Change, "revision"));
       Output.Out << Line << "\n";
     }
--- a/src/cli/resource_file.cpp
+++ b/src/cli/resource_file.cpp
@@ -1,5 +1,6 @@
 #include "cli/resource_file.h"
 
+#include "base/json_reader.h"
 #include "store/resource_json.h"
 #include <fmt/format.h>
 
@@ -28,14 +29,15 @@
 
 result<std::vector<desired_resource>, resource_file_errors>
 parseResources(std::string_view Text) {
-  const auto Json = nlohmann::json::parse(Text, nullptr, false);
+  const auto Json = parseJson(Text);
   if (!Json.is_array()) {
     return resource_file_errors{"the file is not a JSON array"};
   }
   std::vector<desired_resource> Resources;
   resource_file_errors Errors;
   std::set<std::pair<std::string, std::string>> Seen;
-  for (std::size_t I = 0; I < Json.size(); ++I) {
+  for (std::size_t I = 0;
+       I < Json.size() && Errors.size() < store::MaxFieldErrors; ++I) {
     const auto &Object = Json[I];
     const std::string Location = "[" + std::to_string(I) + "]";
     if (!Object.is_object() || !hasString(Object, "kind") ||
--- a/src/cli/rollout_command.cpp
+++ b/src/cli/rollout_command.cpp
@@ -1,5 +1,6 @@
 #include "cli/rollout_command.h"
 
+#include "base/json_reader.h"
 #include "cli/table_text.h"
 #include <nlohmann/json.hpp>
 
@@ -68,7 +69,7 @@
                  << Failure.Message << "\n";
     return Failure.Code;
   }
-  const auto Object = rolloutOf(json::parse(Text.value(), nullptr, false));
+  const auto Object = rolloutOf(parseJson(Text.value()));
   if (Command.Output == output_format::Json) {
     Output.Out << Object.dump(2) << "\n";
   } else {
--- a/src/control/gateway.cpp
+++ b/src/control/gateway.cpp
@@ -148,6 +148,11 @@
   }
   auto Parsed = Adapter.ParseAdminRequest(Exchange->request());
   if (auto *Response = std::get_if<net::http_response>(&Parsed)) {
+    logEvent(log_level::Info, "order_rejected",
+             {{"method", Exchange->request().Method},
+              {"target", Exchange->request().Target},
+              {"status", Response->Status},
+              {"body_bytes", Exchange->request().Body.size()}});
     Exchange->respond(std::move(*Response));
     return;
   }
--- a/src/control/memory_limits.cpp
+++ b/src/control/memory_limits.cpp
@@ -1,5 +1,6 @@
 #include "control/memory_limits.h"
 
+#include "base/json_reader.h"
 #include "base/log.h"
 #include "router/shard.h"
 #include <malloc.h>
@@ -24,6 +25,8 @@
 constexpr std::uint64_t AnswerFraction = 8;
 /// Likewise the bodies of requests, unless the settings say otherwise.
 constexpr std::uint64_t BodyFraction = 4;
+/// Likewise the JSON values that texts are read into.
+constexpr std::uint64_t JsonFraction = 8;
 /// Buffers from this size on are returned to the system when they are freed.
 constexpr int LargeBufferBytes = 128 << 10;
 
@@ -66,6 +69,16 @@
   return Bytes / static_cast<std::uint64_t>(Threads);
 }
 
+std::size_t jsonMemoryBytes(const settings::limit_settings &Limits,
+                            int Threads) noexcept {
+  if (Limits.MemoryMegabytes == 0) {
+    return DefaultJsonMemoryBytes;
+  }
+  const auto Share = Limits.MemoryMegabytes * BytesPerMegabyte / JsonFraction /
+                     static_cast<std::uint64_t>(Threads);
+  return std::min<std::size_t>(DefaultJsonMemoryBytes, Share);
+}
+
 void limitHeapRetention() noexcept {
   // Set explicitly, the threshold no longer grows with each buffer freed.
   if (mallopt(M_MMAP_THRESHOLD, LargeBufferBytes) == 0) {
--- a/src/control/memory_limits.h
+++ b/src/control/memory_limits.h
@@ -30,6 +30,11 @@
 [[nodiscard]] std::size_t
 bodyMemoryBytes(const settings::limit_settings &Limits, int Threads) noexcept;
 
+/// Bytes of the JSON values that one text may become on one of `Threads` I/O
+/// threads. The event loop of control and the voter may read one beside them.
+[[nodiscard]] std::size_t
+jsonMemoryBytes(const settings::limit_settings &Limits, int Threads) noexcept;
+
 /// Returns large buffers to the system as soon as they are freed. By default
 /// the C library keeps them once some were freed, so that a process that was
 /// crowded for a moment stays large.
--- a/src/control/pool_host.cpp
+++ b/src/control/pool_host.cpp
@@ -1,5 +1,6 @@
 #include "control/pool_host.h"
 
+#include "base/json_reader.h"
 #include "base/log.h"
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
@@ -192,7 +193,7 @@
 void pool_host::onLoad(pool_id Pool, upstream_id Upstream,
                        const std::string &Body, instant SentAt) {
   const auto It = Pools.find(Pool);
-  const auto Json = nlohmann::json::parse(Body, nullptr, false);
+  const auto Json = parseJson(Body);
   if (It == Pools.end() || !Json.is_object()) {
     return;
   }
--- a/src/control/resource_api.cpp
+++ b/src/control/resource_api.cpp
@@ -1,5 +1,6 @@
 #include "control/resource_api.h"
 
+#include "base/json_reader.h"
 #include "net/http_message.h"
 #include "store/resource_json.h"
 #include <nlohmann/json.hpp>
@@ -133,7 +134,7 @@
 
 api_plan planPut(const api_request_message &Request, const api_target &Target,
                  store::resource_kind Kind, const store::state_machine &Store) {
-  auto Json = nlohmann::json::parse(Request.Body, nullptr, false);
+  auto Json = parseJson(Request.Body);
   if (!Json.is_object()) {
     return {std::nullopt,
             apiError(400, "malformed", "the body is not a JSON object")};
@@ -170,8 +171,7 @@
               apiError(404, "not_found", "there is no configuration yet")};
     }
     return {std::nullopt,
-            {200,
-             serializeJson(store::toJson(*Object->as<store::fleet_config>()))}};
+            {200, store::configText(*Object->as<store::fleet_config>())}};
   }
   if (Request.Method != "PUT") {
     return {std::nullopt,
@@ -191,7 +191,7 @@
 
 api_plan planDomainState(const api_request_message &Request,
                          const api_target &Target) {
-  const auto Json = nlohmann::json::parse(Request.Body, nullptr, false);
+  const auto Json = parseJson(Request.Body);
   const bool Valid = Request.Method == "PUT" && !Target.Name.empty() &&
                      Json.is_object() && Json.contains("state") &&
                      Json["state"].is_string();
@@ -210,7 +210,7 @@
 
 api_plan planRolloutStart(const api_request_message &Request,
                           const api_target &Target) {
-  const auto Json = nlohmann::json::parse(Request.Body, nullptr, false);
+  const auto Json = parseJson(Request.Body);
   const auto Malformed = [](std::string_view Message) {
     return api_plan{std::nullopt, apiError(400, "malformed", Message)};
   };
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -1,6 +1,7 @@
 #include "control/server.h"
 
 #include "base/codec.h"
+#include "base/json_reader.h"
 #include "base/log.h"
 #include "control/gateway.h"
 #include "control/instance_poller.h"
@@ -174,6 +175,7 @@
 }
 
 bool server::start() {
+  setJsonMemory(jsonMemoryBytes(Settings.Limits, Settings.Listen.Threads));
   if (!startMesh() || !startVoter()) {
     return false;
   }
--- a/src/router/admission.cpp
+++ b/src/router/admission.cpp
@@ -1,6 +1,7 @@
 #include "router/admission.h"
 
 #include "base/digest.h"
+#include "base/json_reader.h"
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -65,7 +66,12 @@
 /// Parses a chat completion request, finds its service and sets the request id
 /// that the engine returns in its response.
 result<void, request_error> parseChatRequest(routed_request &Request) {
-  auto Json = nlohmann::json::parse(Request.Body, nullptr, false);
+  auto Read = readJson(Request.Body, jsonLimits());
+  if (Read.has_error()) {
+    return Read.error() == json_error::TooLarge ? request_error::BodyTooLarge
+                                                : request_error::MalformedBody;
+  }
+  auto Json = std::move(Read).value();
   if (!Json.is_object() || !Json.contains("model") ||
       !Json["model"].is_string() || !Json.contains("messages") ||
       !Json["messages"].is_array()) {
--- a/src/router/http_dispatch.cpp
+++ b/src/router/http_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "router/http_dispatch.h"
 
 #include "base/digest.h"
+#include "base/json_reader.h"
 #include "base/log.h"
 #include "router/address_response.h"
 #include "router/admission.h"
@@ -173,8 +174,7 @@
 void handleBlockPeers(const http_dispatch_hooks &Hooks,
                       const exchange_ptr &Exchange) {
   std::set<node_id> Peers;
-  const auto Json =
-      nlohmann::json::parse(Exchange->request().Body, nullptr, false);
+  const auto Json = parseJson(Exchange->request().Body);
   if (Json.is_object() && Json.contains("peers")) {
     for (const auto &Peer : Json["peers"]) {
       if (Peer.is_number_unsigned()) {
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -194,6 +194,7 @@
   if (!Request.Validator || Request.Validator->tokens() == 0) {
     return Request.Body;
   }
+  // The body was written here from a value that was read within limits.
   auto Json = nlohmann::json::parse(Request.Body);
   Json["resume_from"] = {{"request_id", Request.UpstreamRequestId},
                          {"tokens", Request.Validator->tokens()}};
--- a/src/router/stream_validator.cpp
+++ b/src/router/stream_validator.cpp
@@ -1,5 +1,6 @@
 #include "router/stream_validator.h"
 
+#include "base/json_reader.h"
 #include "router/json_fields.h"
 #include <nlohmann/json.hpp>
 
@@ -106,7 +107,7 @@
 void stream_validator::processChunk(std::string_view Json,
                                     std::string_view Event,
                                     std::string &Forward) {
-  const auto Chunk = nlohmann::json::parse(Json, nullptr, false);
+  const auto Chunk = parseJson(Json);
   if (!Chunk.is_object()) {
     State = stream_state::Malformed;
     return;
--- a/src/router/upstream_response.cpp
+++ b/src/router/upstream_response.cpp
@@ -1,5 +1,6 @@
 #include "router/upstream_response.h"
 
+#include "base/json_reader.h"
 #include "router/json_fields.h"
 #include <nlohmann/json.hpp>
 
@@ -16,8 +17,7 @@
             : static_cast<double>(Request.Body.size()) / 4;
     return Prompt + static_cast<double>(Request.Validator->tokens());
   }
-  const auto Json =
-      nlohmann::json::parse(Request.Attempt.Body.text(), nullptr, false);
+  const auto Json = parseJson(Request.Attempt.Body.text());
   if (Json.is_object() && Json.contains("usage") && Json["usage"].is_object()) {
     return static_cast<double>(
         unsignedFieldOr(Json["usage"], "prompt_tokens", 0) +
@@ -62,8 +62,7 @@
     return Request.Validator->state() == stream_state::Done;
   }
   if (Request.IsModelRequest && Request.Attempt.Status < 300) {
-    const auto Json =
-        nlohmann::json::parse(Request.Attempt.Body.text(), nullptr, false);
+    const auto Json = parseJson(Request.Attempt.Body.text());
     return Json.is_object() &&
            stringFieldOrEmpty(Json, "id") == Request.UpstreamRequestId;
   }
--- a/src/store/field_error.h
+++ b/src/store/field_error.h
@@ -4,10 +4,15 @@
 #include "base/name_table.h"
 #include <msgpack.hpp>
 
+#include <cstddef>
 #include <string>
 
 namespace arbutus::store {
 
+/// Faults of one object that are reported. A text can have more faults than
+/// bytes, and the answer to a write is remembered for a day.
+inline constexpr std::size_t MaxFieldErrors = 100;
+
 /// What is wrong with one field. The numbers are part of the log format.
 enum class field_code : int {
   Missing = 0,
--- a/src/store/resource_json.cpp
+++ b/src/store/resource_json.cpp
@@ -1,6 +1,8 @@
 #include "store/resource_json.h"
 
+#include "base/json_reader.h"
 #include "store/config_rules.h"
+#include "store/entry_memory.h"
 #include "store/nearest_name.h"
 #include "store/state_machine.h"
 #include "store/validation.h"
@@ -9,6 +11,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <string>
 #include <type_traits>
@@ -83,12 +86,22 @@
   }
 }
 
-/// Reads the fields of one JSON object and collects every fault.
+/// What the readers of one text share.
+struct reading {
+  std::vector<field_error> &Errors;
+  entry_memory Memory{jsonLimits().MaxBytes};
+
+  /// False once no more faults are collected, so that the rest is not read.
+  [[nodiscard]] bool goesOn() const noexcept {
+    return Errors.size() < MaxFieldErrors;
+  }
+};
+
+/// Reads the fields of one JSON object and collects its faults.
 class field_reader {
 public:
-  field_reader(const json &In, std::string Path,
-               std::vector<field_error> &Errors)
-      : In(In), Path(std::move(Path)), Errors(Errors) {}
+  field_reader(const json &In, std::string Path, reading &Reading)
+      : In(In), Path(std::move(Path)), Reading(Reading) {}
 
   template <class T> void required(const char *Field, T &Value) {
     if (!read(Field, Value)) {
@@ -104,6 +117,9 @@
   /// Reports the fields that no call has named.
   void finish() {
     for (const auto &[Field, Value] : In.items()) {
+      if (!Reading.goesOn()) {
+        return;
+      }
       if (std::find(Known.begin(), Known.end(), Field) == Known.end()) {
         add(pathOf(Field), field_code::UnknownField,
             "there is no such field" + suggestion(Field, Known));
@@ -111,12 +127,29 @@
     }
   }
 
+  /// Reads one more entry of a list that is a field of the object. Returns
+  /// false if the entries after it are not to be read.
+  template <class T>
+  bool readEntry(const json &From, const char *Field, std::vector<T> &List) {
+    const auto Index = List.size();
+    const auto At = fmt::format("{}[{}]", pathOf(Field), Index);
+    if (!Reading.Memory.take<T>()) {
+      add(At, field_code::OutOfRange,
+          "the entries before it fill the memory for one object");
+      return false;
+    }
+    readValue(From, At, List.emplace_back());
+    return Reading.goesOn();
+  }
+
 private:
   std::string pathOf(const std::string &Field) const {
     return Path.empty() ? Field : Path + "." + Field;
   }
   void add(std::string At, field_code Code, std::string Message) {
-    Errors.push_back({std::move(At), Code, std::move(Message)});
+    if (Reading.goesOn()) {
+      Reading.Errors.push_back({std::move(At), Code, std::move(Message)});
+    }
   }
   void wrongType(const std::string &At, std::string_view Expected) {
     add(At, field_code::WrongType, fmt::format("expected {}", Expected));
@@ -203,7 +236,7 @@
       wrongType(At, "an object");
       return;
     }
-    field_reader Inner(From, At, Errors);
+    field_reader Inner(From, At, Reading);
     T::visitFields(Value, Inner);
     Inner.finish();
   }
@@ -214,55 +247,129 @@
       wrongType(At, "a list");
       return;
     }
-    for (std::size_t I = 0; I < From.size(); ++I) {
-      readValue(From[I], fmt::format("{}[{}]", At, I), Value.emplace_back());
+    field_reader Entries(From, "", Reading);
+    for (const auto &Entry : From) {
+      if (!Entries.readEntry(Entry, At.c_str(), Value)) {
+        return;
+      }
     }
   }
 
   const json &In;
   std::string Path;
-  std::vector<field_error> &Errors;
+  reading &Reading;
   std::vector<std::string_view> Known;
 };
 
 template <class T>
-void readSpec(const json &From, resource_spec &Spec,
-              std::vector<field_error> &Errors) {
+void readSpec(const json &From, resource_spec &Spec, reading &Reading) {
   T Value;
-  field_reader Reader(From, "spec", Errors);
+  field_reader Reader(From, "spec", Reading);
   T::visitFields(Value, Reader);
   Reader.finish();
   Spec.Value = std::move(Value);
 }
 
 void readSpecOfKind(resource_kind Kind, const json &From, resource_spec &Spec,
-                    std::vector<field_error> &Errors) {
+                    reading &Reading) {
   switch (Kind) {
   case resource_kind::Team:
-    return readSpec<team>(From, Spec, Errors);
+    return readSpec<team>(From, Spec, Reading);
   case resource_kind::Upstream:
-    return readSpec<upstream>(From, Spec, Errors);
+    return readSpec<upstream>(From, Spec, Reading);
   case resource_kind::FailureDomain:
-    return readSpec<failure_domain>(From, Spec, Errors);
+    return readSpec<failure_domain>(From, Spec, Reading);
   case resource_kind::Service:
-    return readSpec<service>(From, Spec, Errors);
+    return readSpec<service>(From, Spec, Reading);
   case resource_kind::Policy:
-    return readSpec<policy>(From, Spec, Errors);
+    return readSpec<policy>(From, Spec, Reading);
   case resource_kind::Pool:
     // The members of a pool object are not read, because no write is allowed.
     Spec.Value = pool{};
     return;
   case resource_kind::Configuration:
-    return readSpec<fleet_config>(From, Spec, Errors);
+    return readSpec<fleet_config>(From, Spec, Reading);
   case resource_kind::Instance:
-    return readSpec<instance>(From, Spec, Errors);
+    return readSpec<instance>(From, Spec, Reading);
   case resource_kind::Quarantine:
-    return readSpec<quarantine>(From, Spec, Errors);
+    return readSpec<quarantine>(From, Spec, Reading);
   case resource_kind::Rollout:
-    return readSpec<rollout>(From, Spec, Errors);
+    return readSpec<rollout>(From, Spec, Reading);
   }
 }
 
+/// Reads the entries of a configuration's lists as they come, so that no long
+/// list is in memory as JSON values.
+class config_lists {
+public:
+  config_lists(fleet_config &Config, reading &Reading)
+      : Config(Config), Fields(NoFields, "", Reading) {}
+
+  [[nodiscard]] json_list_receiver receiver() {
+    return {[this](std::string_view Field) { return begin(Field); },
+            [this](const json &Entry) { return ReadEntry(Entry); }};
+  }
+
+private:
+  bool begin(std::string_view Field) {
+    return select(Field, "routes", Config.Routes) ||
+           select(Field, "services", Config.Services) ||
+           select(Field, "teams", Config.Teams);
+  }
+
+  template <class T>
+  bool select(std::string_view Field, const char *Name, std::vector<T> &List) {
+    if (Field != Name) {
+      return false;
+    }
+    List.clear(); // of a field that appears twice the last counts
+    ReadEntry = [this, Name, &List](const json &Entry) {
+      return Fields.readEntry(Entry, Name, List);
+    };
+    return true;
+  }
+
+  const json NoFields = json::object();
+  fleet_config &Config;
+  field_reader Fields;
+  std::function<bool(const json &)> ReadEntry;
+};
+
+std::string toText(const json &Value) {
+  return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Writes an object field by field, and a list entry by entry, so that the
+/// whole is never in memory as JSON values.
+struct text_writer {
+  std::string Out;
+
+  template <class T> void required(const char *Field, const T &Value) {
+    Out += Out.empty() ? "{" : ",";
+    Out += fmt::format("\"{}\":", Field);
+    if constexpr (requires { typename T::value_type; } &&
+                  !std::is_same_v<T, std::string>) {
+      writeList(Value);
+    } else {
+      Out += toText(valueToJson(Value));
+    }
+  }
+  template <class T> void optional(const char *Field, const T &Value) {
+    required(Field, Value);
+  }
+  [[nodiscard]] std::string finish() { return std::move(Out += "}"); }
+
+private:
+  template <class T> void writeList(const std::vector<T> &List) {
+    Out += "[";
+    for (std::size_t I = 0; I < List.size(); ++I) {
+      Out += I == 0 ? "" : ",";
+      Out += toText(valueToJson(List[I]));
+    }
+    Out += "]";
+  }
+};
+
 /// True if the path `Part` is `Whole` or a part of it.
 bool contains(std::string_view Whole, std::string_view Part) noexcept {
   return Part.substr(0, Whole.size()) == Whole &&
@@ -357,7 +464,8 @@
   }
   const std::size_t Before = Errors.size();
   auto Kind = resource_kind::Team;
-  field_reader Reader(Object, "", Errors);
+  reading Reading{Errors};
+  field_reader Reader(Object, "", Reading);
   Reader.required("kind", Kind);
   const bool KindKnown = Errors.size() == Before;
   Reader.required("name", Parsed.Put.Name);
@@ -374,7 +482,7 @@
   } else if (!Spec->is_object()) {
     Errors.push_back({"spec", field_code::WrongType, "expected an object"});
   } else if (KindKnown) {
-    readSpecOfKind(Kind, *Spec, Parsed.Put.Spec, Errors);
+    readSpecOfKind(Kind, *Spec, Parsed.Put.Spec, Reading);
   }
   if (KindKnown && Spec != Object.end() && Spec->is_object()) {
     Errors = merge(Errors, checkValues(Parsed.Put.Name, Parsed.Put.Spec));
@@ -383,7 +491,7 @@
 }
 
 parsed_put parsePutText(std::string_view Text, std::string_view RequestId) {
-  const json Object = json::parse(Text, nullptr, false);
+  const json Object = parseJson(Text);
   if (Object.is_discarded()) {
     parsed_put Parsed;
     Parsed.Put.RequestId = RequestId;
@@ -397,13 +505,22 @@
 
 parsed_config parseConfigText(std::string_view Text) {
   parsed_config Parsed;
-  const json Object = json::parse(Text, nullptr, false);
-  if (!Object.is_object()) {
+  reading Reading{Parsed.Errors};
+  config_lists Lists(Parsed.Config, Reading);
+  const auto Read = readJson(Text, jsonLimits(), Lists.receiver());
+  const bool IsObject = Read.has_value() && Read.value().is_object();
+  if (!IsObject && Parsed.Errors.empty()) {
     Parsed.Errors.push_back(
-        {"", field_code::Malformed, "the text is not a JSON object"});
+        {"", field_code::Malformed,
+         Read.has_error() ? fmt::format("the text is not a JSON object: {}",
+                                        nameOf(Read.error()))
+                          : "the text is not a JSON object"});
+  }
+  if (!IsObject) {
     return Parsed;
   }
-  field_reader Reader(Object, "", Parsed.Errors);
+  // The lists are in the configuration already, and empty in what was read.
+  field_reader Reader(Read.value(), "", Reading);
   fleet_config::visitFields(Parsed.Config, Reader);
   Reader.finish();
   if (Parsed.Errors.empty()) {
@@ -412,6 +529,15 @@
   return Parsed;
 }
 
+std::string configText(const fleet_config &Config) {
+  text_writer Writer;
+  // The lists take about as much as the document that they come from. A text
+  // that grows step by step takes up to three times its size.
+  Writer.Out.reserve(3 * Config.Document.size());
+  fleet_config::visitFields(Config, Writer);
+  return Writer.finish();
+}
+
 json toJson(const fleet_config &Config) { return specToJson(Config); }
 
 std::vector<field_error> allErrors(const parsed_put &Parsed,
--- a/src/store/resource_json.h
+++ b/src/store/resource_json.h
@@ -8,6 +8,7 @@
 #include "store/resource.h"
 #include <nlohmann/json_fwd.hpp>
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -45,8 +46,11 @@
 };
 
 /// Reads the fields of a fleet configuration from JSON text and checks them.
+/// Takes little more memory than the configuration, whatever the text holds.
 [[nodiscard]] parsed_config parseConfigText(std::string_view Text);
-/// The form that `parseConfigText` reads.
+/// The text that `parseConfigText` reads.
+[[nodiscard]] std::string configText(const fleet_config &Config);
+/// The same as a value, which takes several times the memory of the text.
 [[nodiscard]] nlohmann::json toJson(const fleet_config &Config);
 
 /// Every fault of a write that was read: those of `Parsed`, and those that
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -29,10 +29,6 @@
 /// Referrers that an answer lists. `Count` has the number of all.
 constexpr std::size_t MaxReferrers = 100;
 
-/// Faults that an answer lists. Like referrers they are bounded, because the
-/// answer is remembered for a day.
-constexpr std::size_t MaxErrors = 100;
-
 /// Length of the name of a software version.
 constexpr std::size_t MaxVersionBytes = 128;
 
@@ -61,7 +57,7 @@
 }
 
 command_outcome invalid(std::vector<field_error> Errors) {
-  Errors.resize(std::min(Errors.size(), MaxErrors));
+  Errors.resize(std::min(Errors.size(), MaxFieldErrors));
   auto Outcome = outcomeOf(outcome_code::Invalid);
   Outcome.Errors = std::move(Errors);
   return Outcome;
--- /dev/null
+++ b/tests/memory/test_hostile_text.cpp
@@ -0,0 +1,241 @@
+#include "base/json_reader.h"
+#include "cli/resource_file.h"
+#include "control/memory_limits.h"
+#include "control/resource_api.h"
+#include "heap_meter.h"
+#include "platform/admin_codec.h"
+#include "platform/instance_codec.h"
+#include "router/stream_validator.h"
+#include "settings/settings.h"
+#include "store/state_machine.h"
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace arbutus;
+
+namespace {
+
+constexpr std::size_t Mebibyte = std::size_t{1} << 20U;
+/// Half of the largest body of callers, and the largest of operators.
+constexpr std::size_t TextSizes[] = {2 * Mebibyte, 16 * Mebibyte};
+/// Memory of the smallest VM that a deployment has, in megabytes.
+constexpr std::uint64_t MemoryMegabytes = 88;
+/// A quarter of it. The text itself and what the process holds beside it have
+/// the rest.
+constexpr std::size_t MaxHeapBytes = MemoryMegabytes * 1'000'000 / 4;
+
+/// Limits of a process of that VM while a test runs.
+struct small_vm {
+  small_vm() {
+    settings::limit_settings Limits;
+    Limits.MemoryMegabytes = MemoryMegabytes;
+    setJsonMemory(control::jsonMemoryBytes(Limits, 1));
+  }
+  small_vm(const small_vm &) = delete;
+  small_vm &operator=(const small_vm &) = delete;
+  ~small_vm() { setJsonMemory(DefaultJsonMemoryBytes); }
+};
+
+/// A text of some size that becomes far more memory than it has bytes.
+struct hostile_form {
+  const char *What;
+  /// Repeated until the text is long enough.
+  const char *Part;
+};
+
+constexpr hostile_form Forms[] = {
+    {"arrays that nest", "["},
+    {"objects that nest", R"({"":)"},
+    {"arrays in objects that nest", R"([{"":)"},
+    {"numbers", "0,"},
+    {"empty texts", R"("",)"},
+    {"empty arrays", "[],"},
+    {"empty objects", "{},"},
+    {"objects with a member", R"({"":0},)"},
+    {"unknown fields", R"({"a":0,"b":0,"c":0},)"},
+    {"nothing between commas", ","},
+    {"services without anything but a name", R"({"name":""},)"},
+    {"teams without anything", R"({"name":"","api_keys":[]},)"},
+    {"targets", R"({"service":"","weight":1},)"},
+    {"keys", R"({"name":"","api_keys":["","","","","","","","","",""]},)"},
+};
+
+std::string hostileText(const std::string &Begin, const hostile_form &Form,
+                        std::size_t Size, const std::string &End) {
+  std::string Text;
+  Text.reserve(Size + Begin.size() + End.size());
+  Text = Begin;
+  const std::string Part = Form.Part;
+  while (Text.size() + Part.size() < Size) {
+    Text += Part;
+  }
+  if (!End.empty() && Text.back() == ',') {
+    Text.pop_back();
+  }
+  return Text + End;
+}
+
+net::http_request operatorRequest(std::string Method, std::string Target,
+                                  std::string Body) {
+  net::http_request Request;
+  Request.Method = std::move(Method);
+  Request.Target = std::move(Target);
+  Request.Body = std::move(Body);
+  return Request;
+}
+
+/// True if the platform's operator gets a 4xx for the body.
+bool rejectsOrder(std::string Method, std::string Target, std::string Body) {
+  const auto Result = platform::parseAdminRequest(
+      operatorRequest(std::move(Method), std::move(Target), std::move(Body)));
+  const auto *Response = std::get_if<net::http_response>(&Result);
+  return Response != nullptr && Response->Status / 100 == 4;
+}
+
+/// True if a body at the resource API gets a 4xx from the leader.
+bool rejectsResource(std::string Target, std::string Body) {
+  const store::state_machine Store;
+  control::api_request_message Request;
+  Request.Method = "PUT";
+  Request.Target = std::move(Target);
+  Request.RequestId = "r-1";
+  Request.Body = std::move(Body);
+  const auto Plan = control::planAdminRequest(Request, Store, {});
+  return !Plan.Command && Plan.Response.Status / 100 == 4;
+}
+
+} // namespace
+
+// Guards against one text of an operator whose memory is not bounded before it
+// is read into objects, which ended each process that it was sent to.
+TEST_CASE("a hostile order is refused within its share of memory") {
+  const small_vm Vm;
+  struct row {
+    std::string Reader;
+    std::string Begin;
+    std::function<bool(std::string)> Rejects;
+  };
+  const auto Config = [](std::string Text) {
+    return rejectsOrder("PUT", "/v1/config", std::move(Text));
+  };
+  const auto Resource = [](const char *Target) {
+    return [Target](std::string Text) {
+      return rejectsResource(Target, std::move(Text));
+    };
+  };
+  const std::string Services = R"({"version":1,"routes":[],"services":)";
+  const std::string Routes = R"({"version":1,"services":[],"routes":)";
+  const std::vector<row> Rows = {
+      {"configuration", "", Config},
+      {"configuration, a list", "[", Config},
+      {"configuration, version", R"({"version":)", Config},
+      {"configuration, routes", Routes + "[", Config},
+      {"configuration, services", Services + "[", Config},
+      {"configuration, teams", Services + R"([],"tenants":[)", Config},
+      {"configuration, unknown", Services + R"([],"x":[)", Config},
+      {"configuration, in a route", Routes + R"([{"split":[)", Config},
+      {"configuration, unknown in a route", Routes + R"([{"x":[)", Config},
+      {"configuration, in a team", Services + R"([],"tenants":[{"x":[)",
+       Config},
+      {"rollout", R"({"service":[)",
+       [](std::string Text) {
+         return rejectsOrder("POST", "/v1/rollouts", std::move(Text));
+       }},
+      {"leader, configuration", Routes + "[",
+       Resource("/api/v1/configuration")},
+      {"leader, services", Services + "[", Resource("/api/v1/configuration")},
+      {"leader, unknown", Services + R"([],"x":[)",
+       Resource("/api/v1/configuration")},
+      {"leader, team", R"({"version":0,"spec":{"x":[)",
+       Resource("/api/v1/team/x")},
+      {"leader, service", R"({"version":0,"spec":{"routes":[)",
+       Resource("/api/v1/service/x")},
+      {"leader, domain", R"({"state":[)", Resource("/api/v1/domain_state/a")},
+      {"leader, rollout", R"({"target":[)",
+       Resource("/api/v1/rollout_order/s")},
+  };
+  for (const auto &Row : Rows) {
+    for (const auto &Form : Forms) {
+      for (const std::size_t Size : TextSizes) {
+        CAPTURE(Row.Reader, Form.What, Size);
+        auto Text = hostileText(Row.Begin, Form, Size, "");
+        bool Rejected = false;
+        const auto Peak = tests::peakHeapBytes(
+            [&] { Rejected = Row.Rejects(std::move(Text)); });
+        CHECK(Rejected);
+        CHECK(Peak <= MaxHeapBytes);
+      }
+    }
+  }
+}
+
+// Guards against a text that is complete, so that all of it is read, and only
+// then found to be none of an order.
+TEST_CASE("a complete hostile configuration stays within its share of memory") {
+  const small_vm Vm;
+  struct row {
+    const char *Begin;
+    const char *End;
+  };
+  const row Rows[] = {
+      {R"({"version":1,"services":[],"routes":[)", "]}"},
+      {R"({"version":1,"routes":[],"services":[)", "]}"},
+      {R"({"version":1,"routes":[],"services":[],"tenants":[)", "]}"},
+      {R"({"version":1,"routes":[],"services":[],"x":[)", "]}"},
+  };
+  for (const auto &Row : Rows) {
+    for (const auto &Form : Forms) {
+      for (const std::size_t Size : TextSizes) {
+        CAPTURE(Row.Begin, Form.What, Size);
+        const auto Request = operatorRequest(
+            "PUT", "/v1/config", hostileText(Row.Begin, Form, Size, Row.End));
+        const auto Peak = tests::peakHeapBytes(
+            [&] { (void)platform::parseAdminRequest(Request); });
+        CHECK(Peak <= MaxHeapBytes + Request.Body.size());
+      }
+    }
+  }
+}
+
+// Guards against one event of an engine's stream that ends the router.
+TEST_CASE("a hostile event of a stream stays within its share of memory") {
+  const small_vm Vm;
+  for (const char *Begin :
+       {"data: ", "data: [", R"(data: {"id":"u","choices":[)"}) {
+    for (const auto &Form : Forms) {
+      CAPTURE(Begin, Form.What);
+      const auto Event = hostileText(Begin, Form, Mebibyte, "\n\n");
+      router::stream_validator Validator("u", "c");
+      const auto Peak =
+          tests::peakHeapBytes([&] { (void)Validator.feed(Event); });
+      CHECK(Peak <= MaxHeapBytes);
+      CHECK(Validator.state() == router::stream_state::Malformed);
+    }
+  }
+}
+
+// Guards against a file of resources that takes the operator's machine down.
+TEST_CASE("a hostile file of resources stays within its share of memory") {
+  const small_vm Vm;
+  for (const char *Begin :
+       {"", "[", R"([{"kind":"team","name":"t","spec":{"x":[)"}) {
+    for (const auto &Form : Forms) {
+      for (const char *End : {"", "]", "]}}]"}) {
+        CAPTURE(Begin, Form.What, End);
+        const auto File = hostileText(Begin, Form, 2 * Mebibyte, End);
+        const auto Peak =
+            tests::peakHeapBytes([&] { (void)cli::parseResources(File); });
+        CHECK(Peak <= MaxHeapBytes);
+      }
+    }
+  }
+}
