--- a/tests/memory/test_hostile_text.cpp
+++ b/tests/memory/test_hostile_text.cpp
@@ -206,6 +206,25 @@
   }
 }
 
+// Guards against a page of the list of instances that ends the leader.
+TEST_CASE("a hostile page of instances stays within its share of memory") {
+  const small_vm Vm;
+  constexpr std::size_t PageBytes = 4 * Mebibyte;
+  for (const char *Begin :
+       {"", "[", R"({"instances":[)", R"({"instances":[{"x":[)",
+        R"({"instances":[],"x":[)", R"({"next":[)"}) {
+    for (const auto &Form : Forms) {
+      for (const char *End : {"", "]}"}) {
+        CAPTURE(Begin, Form.What, End);
+        const auto Page = hostileText(Begin, Form, PageBytes, End);
+        const auto Peak = tests::peakHeapBytes(
+            [&] { (void)platform::parseInstancePage(Page); });
+        CHECK(Peak <= MaxHeapBytes);
+      }
+    }
+  }
+}
+
 // Guards against one event of an engine's stream that ends the router.
 TEST_CASE("a hostile event of a stream stays within its share of memory") {
   const small_vm Vm;
