A settings file is no longer than 256 KiB

Cause, the same on a related path: a file of up to 4 MiB was read into TOML values before anything else was known of it. Flat lists took over 100 MB. Ruled out: the depth, which the library bounds itself.

Change: the longest file is 256 KiB.

Conclusion: a byte may still become some 80, so at most 20 MB.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -35,7 +35,7 @@
 constexpr impl::integer_range PercentRange{0, 100};
 constexpr std::size_t Sha256HexDigits = 64;
 /// Bounds the memory used when the path names another file by mistake.
-constexpr std::size_t MaxFileBytes = std::size_t{4} << 20U;
+constexpr std::size_t MaxFileBytes = std::size_t{256} << 10U;
 
 struct level_name {
   log_level Level;
@@ -389,7 +389,7 @@
   }
   if (Text.size() > MaxFileBytes) {
     return settings_errors{
-        {File.string(), 0, "", code::UnreadableFile, "is over 4 MiB", ""}};
+        {File.string(), 0, "", code::UnreadableFile, "is over 256 KiB", ""}};
   }
   return parseSettings(Text, File);
 }
--- a/tests/memory/test_hostile_text.cpp
+++ b/tests/memory/test_hostile_text.cpp
@@ -258,3 +258,33 @@
     }
   }
 }
+
+// Guards against a settings file that ends the process that reads it.
+TEST_CASE("a hostile settings file stays within its share of memory") {
+  const small_vm Vm;
+  const hostile_form SettingsForms[] = {
+      {"arrays that nest", "["},
+      {"tables that nest", "{a="},
+      {"numbers", "0,"},
+      {"empty texts", "\"\","},
+      {"empty arrays", "[],"},
+      {"empty tables", "{},"},
+      {"tables with a key", "{a=0},"},
+  };
+  constexpr std::size_t FileBytes = 4 * Mebibyte;
+  const auto Path = std::filesystem::temp_directory_path() /
+                    ("arbutus-memory-" + std::to_string(getpid()) + ".toml");
+  for (const char *Begin : {"x = [", "[fleet]\nseeds = ["}) {
+    for (const auto &Form : SettingsForms) {
+      CAPTURE(Begin, Form.What);
+      {
+        std::ofstream File(Path, std::ios::binary);
+        File << hostileText(Begin, Form, FileBytes, "]");
+      }
+      const auto Peak =
+          tests::peakHeapBytes([&] { (void)settings::readSettings(Path); });
+      CHECK(Peak <= MaxHeapBytes);
+    }
+  }
+  std::filesystem::remove(Path);
+}
