The longest settings file is 64 KiB

The failing checks on show 938 MB for 4 MiB of empty texts, over 220 bytes for a byte, so 256 KiB would take some 57 MB. Its test missed it, since it had only files over the limit.

Change: 64 KiB, and the test has a file just short of the limit as well (bound unchanged: a quarter of a VM of 88 MB).

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -34,8 +34,8 @@
 constexpr impl::integer_range ExposureRange{0, 1};
 constexpr impl::integer_range PercentRange{0, 100};
 constexpr std::size_t Sha256HexDigits = 64;
-/// Bounds the memory used when the path names another file by mistake.
-constexpr std::size_t MaxFileBytes = std::size_t{256} << 10U;
+/// A byte of TOML may become over 200 bytes of memory.
+constexpr std::size_t MaxFileBytes = std::size_t{64} << 10U;
 
 struct level_name {
   log_level Level;
@@ -389,7 +389,7 @@
   }
   if (Text.size() > MaxFileBytes) {
     return settings_errors{
-        {File.string(), 0, "", code::UnreadableFile, "is over 256 KiB", ""}};
+        {File.string(), 0, "", code::UnreadableFile, "is over 64 KiB", ""}};
   }
   return parseSettings(Text, File);
 }
--- a/tests/memory/test_hostile_text.cpp
+++ b/tests/memory/test_hostile_text.cpp
@@ -271,19 +271,23 @@
       {"empty tables", "{},"},
       {"tables with a key", "{a=0},"},
   };
-  constexpr std::size_t FileBytes = 4 * Mebibyte;
+  // Just short of the longest file that is read, and longer ones.
+  constexpr std::size_t FileSizes[] = {(std::size_t{64} << 10U) - 1,
+                                       std::size_t{256} << 10U, 4 * Mebibyte};
   const auto Path = std::filesystem::temp_directory_path() /
                     ("arbutus-memory-" + std::to_string(getpid()) + ".toml");
   for (const char *Begin : {"x = [", "[fleet]\nseeds = ["}) {
     for (const auto &Form : SettingsForms) {
-      CAPTURE(Begin, Form.What);
-      {
-        std::ofstream File(Path, std::ios::binary);
-        File << hostileText(Begin, Form, FileBytes, "]");
+      for (const std::size_t Size : FileSizes) {
+        CAPTURE(Begin, Form.What, Size);
+        {
+          std::ofstream File(Path, std::ios::binary);
+          File << hostileText(Begin, Form, Size, "]");
+        }
+        const auto Peak =
+            tests::peakHeapBytes([&] { (void)settings::readSettings(Path); });
+        CHECK(Peak <= MaxHeapBytes);
       }
-      const auto Peak =
-          tests::peakHeapBytes([&] { (void)settings::readSettings(Path); });
-      CHECK(Peak <= MaxHeapBytes);
     }
   }
   std::filesystem::remove(Path);
