What a message of a peer is decoded into is bounded

Cause, the same on a related path: a frame has up to 8 MiB, and each of its bytes may become a value of 24 bytes, or a structure of all default fields. The size of a container was bounded by the length of the message only. The mesh of a fleet without a key trusts any process that reaches it. Ruled out: strings, whose bytes stand in the message, and the depth (32).

Change: decodeMessage counts the values with the library's visitor before anything is built, and drops a message that needs over twice the memory of a JSON text (message_refused). Entries of the log are decoded as before: the limit is of one VM, and all voters must read the same from an entry.

Conclusion: an entry of the log from a process that poses as the leader is not bounded by this; only the fleet key is against it.

--- a/src/base/codec.h
+++ b/src/base/codec.h
@@ -11,12 +11,13 @@
 
 namespace arbutus {
 
-enum class codec_error { Malformed, TrailingBytes };
+enum class codec_error { Malformed, TrailingBytes, TooLarge };
 
 template <> struct name_table<codec_error> {
   static constexpr name_row<codec_error> Rows[] = {
       {codec_error::Malformed, "malformed"},
       {codec_error::TrailingBytes, "trailing_bytes"},
+      {codec_error::TooLarge, "too_large"},
   };
 };
 
@@ -48,6 +49,21 @@
   }
 }
 
+/// True if what a message is decoded into fits the memory for it, twice that
+/// of a JSON text. A byte of a message may become a structure of over 100
+/// bytes. Logs a message that does not fit.
+[[nodiscard]] bool fitsMemory(std::string_view Bytes);
+
+/// Decodes a message of another process. Entries of the log are decoded without
+/// the limit, which is of this VM: all voters must read the same from them.
+template <class T>
+[[nodiscard]] result<T, codec_error> decodeMessage(std::string_view Bytes) {
+  if (!fitsMemory(Bytes)) {
+    return codec_error::TooLarge;
+  }
+  return decode<T>(Bytes);
+}
+
 } // namespace arbutus
 
 #endif
--- a/src/control/node_agent.cpp
+++ b/src/control/node_agent.cpp
@@ -66,33 +66,33 @@
                          net::message_kind Kind, const std::string &Payload) {
   switch (Kind) {
   case net::message_kind::Heartbeat:
-    if (const auto Heartbeat = decode<heartbeat_message>(Payload)) {
+    if (const auto Heartbeat = decodeMessage<heartbeat_message>(Payload)) {
       replyWithLeaderHint(From, Heartbeat.value());
     }
     return;
   case net::message_kind::HeartbeatReply:
-    if (const auto Reply = decode<heartbeat_reply_message>(Payload)) {
+    if (const auto Reply = decodeMessage<heartbeat_reply_message>(Payload)) {
       onHeartbeatReply(From, Reply.value());
     }
     return;
   case net::message_kind::ConfigUpdate:
-    if (const auto Update = decode<store::config_update>(Payload)) {
+    if (const auto Update = decodeMessage<store::config_update>(Payload)) {
       onConfigUpdate(Update.value());
     }
     return;
   case net::message_kind::PoolReport:
-    if (const auto Message = decode<pool_message>(Payload)) {
+    if (const auto Message = decodeMessage<pool_message>(Payload)) {
       if (const auto Report =
-              decode<pool::pool_report>(Message.value().Content)) {
+              decodeMessage<pool::pool_report>(Message.value().Content)) {
         Pools.onReport(From, Incarnation, pool_id{Message.value().Pool},
                        Report.value());
       }
     }
     return;
   case net::message_kind::PoolGrant:
-    if (const auto Message = decode<pool_message>(Payload)) {
+    if (const auto Message = decodeMessage<pool_message>(Payload)) {
       if (const auto Grant =
-              decode<pool::pool_grant>(Message.value().Content)) {
+              decodeMessage<pool::pool_grant>(Message.value().Content)) {
         Context->Pools.onGrant(From, pool_id{Message.value().Pool},
                                Grant.value());
         flushReports();
@@ -100,15 +100,15 @@
     }
     return;
   case net::message_kind::ClaimReply:
-    if (const auto Reply = decode<claim_reply_message>(Payload)) {
+    if (const auto Reply = decodeMessage<claim_reply_message>(Payload)) {
       if (const auto Outcome =
-              decode<store::command_outcome>(Reply.value().Outcome)) {
+              decodeMessage<store::command_outcome>(Reply.value().Outcome)) {
         Context->Claims.onReply(Reply.value().Number, Outcome.value());
       }
     }
     return;
   case net::message_kind::ApiReply:
-    if (const auto Reply = decode<api_reply_message>(Payload)) {
+    if (const auto Reply = decodeMessage<api_reply_message>(Payload)) {
       Leader.onReply(Reply.value());
     }
     return;
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -354,7 +354,7 @@
   if (From == Settings.Node.Id || Mesh->hasPeer(From)) {
     return;
   }
-  if (const auto Heartbeat = decode<heartbeat_message>(Payload)) {
+  if (const auto Heartbeat = decodeMessage<heartbeat_message>(Payload)) {
     asio::post(Io,
                [this, From, Address = Heartbeat.value().Sender.MeshAddress] {
                  Mesh->addPeer({From, Address});
--- a/src/control/voter.cpp
+++ b/src/control/voter.cpp
@@ -140,7 +140,7 @@
 }
 
 void voter::state::handleRaft(const voter_frame &Frame, instant Now) {
-  auto Message = decode<consensus::message>(Frame.Payload);
+  auto Message = decodeMessage<consensus::message>(Frame.Payload);
   if (Message.has_error() || Message.value().from() != Frame.From ||
       Message.value().to() != Settings.Node.Id) {
     logEvent(log_level::Warning, "raft_message_dropped",
--- a/src/control/voter_requests.cpp
+++ b/src/control/voter_requests.cpp
@@ -41,7 +41,7 @@
 } // namespace
 
 void voter::state::handleHeartbeat(const voter_frame &Frame, instant Now) {
-  const auto Heartbeat = decode<heartbeat_message>(Frame.Payload);
+  const auto Heartbeat = decodeMessage<heartbeat_message>(Frame.Payload);
   if (Heartbeat.has_value()) {
     Duties.onHeartbeat(Frame.From, Frame.Incarnation, Heartbeat.value(),
                        Raft.status().Leader, isLeading(Now),
@@ -50,11 +50,11 @@
 }
 
 void voter::state::handleClaimRequest(const voter_frame &Frame, instant Now) {
-  const auto Message = decode<claim_request_message>(Frame.Payload);
+  const auto Message = decodeMessage<claim_request_message>(Frame.Payload);
   if (Message.has_error() || !isLeading(Now) || !hasRoomFor(Frame)) {
     return; // The sender resends it to the leader.
   }
-  auto Command = decode<store::command>(Message.value().Command);
+  auto Command = decodeMessage<store::command>(Message.value().Command);
   if (Command.has_value()) {
     QueuedBytes += Frame.Payload.size();
     command_requester Requester;
@@ -66,7 +66,7 @@
 }
 
 void voter::state::handleAdminRequest(const voter_frame &Frame, instant Now) {
-  const auto Request = decode<api_request_message>(Frame.Payload);
+  const auto Request = decodeMessage<api_request_message>(Frame.Payload);
   if (Request.has_error() || !isLeading(Now)) {
     return; // The sender resends it to the leader.
   }
--- a/src/traffic/slot_allocator.cpp
+++ b/src/traffic/slot_allocator.cpp
@@ -139,16 +139,16 @@
   refreshRouting();
   const instant Now = monotonic_clock::now();
   if (Kind == net::message_kind::SlotRequest) {
-    if (const auto Request = decode<slot_request_message>(Payload)) {
+    if (const auto Request = decodeMessage<slot_request_message>(Payload)) {
       CellHost.onRequest(From, Request.value(), Now);
       startCheckTimer();
     }
   } else if (Kind == net::message_kind::SlotEvents) {
-    if (const auto Events = decode<slot_events_message>(Payload)) {
+    if (const auto Events = decodeMessage<slot_events_message>(Payload)) {
       CellHost.onEvents(From, Events.value(), Now);
     }
   } else if (Kind == net::message_kind::SlotReply) {
-    if (const auto Reply = decode<slot_reply_message>(Payload)) {
+    if (const auto Reply = decodeMessage<slot_reply_message>(Payload)) {
       onReply(From, Reply.value());
     }
   }
