References that do not exist are counted among the faults of a resource

Cause, the same on a related path: a text of a team or an upstream that names services that do not exist got a fault with path and message for each, and no bound. A probe of each reader with short texts (a trial, not kept) showed it: 160 bytes for a byte of such a list, 35 to 45 at all other readers.

Change: addFault keeps the first 100 faults, in one place for the four checkers that collect them.

Before: build/test_memory "a complete hostile resource stays within its share of memory" fails 2 of 336 checks without the change of src/ (39.7 MB of the 22 MB); after: passes.

--- a/src/store/config_rules.cpp
+++ b/src/store/config_rules.cpp
@@ -17,9 +17,7 @@
   std::set<std::string_view> Services;
 
   void add(std::string Path, field_code Code, std::string Message) {
-    if (Errors.size() < MaxFieldErrors) {
-      Errors.push_back({std::move(Path), Code, std::move(Message)});
-    }
+    addFault(Errors, {std::move(Path), Code, std::move(Message)});
   }
 
   void checkServices() {
--- a/src/store/field_error.h
+++ b/src/store/field_error.h
@@ -6,6 +6,8 @@
 
 #include <cstddef>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace arbutus::store {
 
@@ -38,6 +40,13 @@
   MSGPACK_DEFINE(Path, Code, Message)
 };
 
+/// Adds a fault, unless there are as many already as are reported.
+inline void addFault(std::vector<field_error> &Errors, field_error Fault) {
+  if (Errors.size() < MaxFieldErrors) {
+    Errors.push_back(std::move(Fault));
+  }
+}
+
 } // namespace arbutus::store
 
 namespace arbutus {
--- a/src/store/resource_json.cpp
+++ b/src/store/resource_json.cpp
@@ -147,9 +147,7 @@
     return Path.empty() ? Field : Path + "." + Field;
   }
   void add(std::string At, field_code Code, std::string Message) {
-    if (Reading.goesOn()) {
-      Reading.Errors.push_back({std::move(At), Code, std::move(Message)});
-    }
+    addFault(Reading.Errors, {std::move(At), Code, std::move(Message)});
   }
   void wrongType(const std::string &At, std::string_view Expected) {
     add(At, field_code::WrongType, fmt::format("expected {}", Expected));
--- a/src/store/resource_table.cpp
+++ b/src/store/resource_table.cpp
@@ -30,6 +30,9 @@
     if (Known.find(Name) != Known.end()) {
       return;
     }
+    if (Errors.size() == MaxFieldErrors) {
+      return;
+    }
     std::vector<std::string_view> Names;
     // Suggestions come from small tables only; their cost is linear.
     if (Known.size() <= 100) {
@@ -37,7 +40,7 @@
         Names.push_back(KnownName);
       }
     }
-    Errors.push_back({std::move(Path), field_code::NoSuchObject,
+    addFault(Errors, {std::move(Path), field_code::NoSuchObject,
                       fmt::format("there is no {} \"{}\"{}", nameOf(Kind), Name,
                                   suggestion(Name, Names))});
   }
@@ -54,7 +57,7 @@
               const std::string &Value, resource_kind Kind) {
     const auto Owner = Owners.find(Value);
     if (Owner != Owners.end() && Owner->second != Self) {
-      Errors.push_back({std::move(Path), field_code::Duplicate,
+      addFault(Errors, {std::move(Path), field_code::Duplicate,
                         fmt::format("{} \"{}\" has the same value",
                                     nameOf(Kind), Owner->second)});
     }
--- a/src/store/validation.cpp
+++ b/src/store/validation.cpp
@@ -70,9 +70,7 @@
   std::vector<field_error> Errors;
 
   void add(std::string Path, field_code Code, std::string Message) {
-    if (Errors.size() < MaxFieldErrors) {
-      Errors.push_back({std::move(Path), Code, std::move(Message)});
-    }
+    addFault(Errors, {std::move(Path), Code, std::move(Message)});
   }
 
   template <class T>
--- a/tests/memory/test_hostile_text.cpp
+++ b/tests/memory/test_hostile_text.cpp
@@ -206,6 +206,39 @@
   }
 }
 
+// Guards against faults of a resource that take far more memory than its text.
+TEST_CASE("a complete hostile resource stays within its share of memory") {
+  struct row {
+    const char *Target;
+    const char *Begin;
+    const char *End;
+  };
+  const row Rows[] = {
+      {"/api/v1/team/x", R"({"version":0,"spec":{"services":[)", "]}}"},
+      {"/api/v1/team/x", R"({"version":0,"spec":{"api_key_hashes":[)", "]}}"},
+      {"/api/v1/upstream/x", R"({"version":0,"spec":{"services":[)", "]}}"},
+      {"/api/v1/service/x", R"({"version":0,"spec":{"routes":[)", "]}}"},
+      {"/api/v1/configuration", R"({"version":1,"services":[],"routes":[)",
+       "]}"},
+      {"/api/v1/configuration", R"({"version":1,"routes":[],"services":[)",
+       "]}"},
+  };
+  // The first is short enough that its values are within their limit.
+  for (const std::size_t Size : {Mebibyte / 4, 2 * Mebibyte}) {
+    for (const auto &Row : Rows) {
+      for (const auto &Form : Forms) {
+        CAPTURE(Row.Target, Row.Begin, Form.What, Size);
+        auto Text = hostileText(Row.Begin, Form, Size, Row.End);
+        bool Rejected = false;
+        const auto Peak = tests::peakHeapBytes(
+            [&] { Rejected = rejectsResource(Row.Target, std::move(Text)); });
+        CHECK(Rejected);
+        CHECK(Peak <= MaxHeapBytes);
+      }
+    }
+  }
+}
+
 // Guards against a page of the list of instances that ends the leader.
 TEST_CASE("a hostile page of instances stays within its share of memory") {
   const small_vm Vm;
