--- a/tests/memory/test_hostile_text.cpp
+++ b/tests/memory/test_hostile_text.cpp
@@ -7,6 +7,7 @@
 #include "platform/instance_codec.h"
 #include "router/stream_validator.h"
 #include "settings/settings.h"
+#include "store/resource_json.h"
 #include "store/state_machine.h"
 #include <catch2/catch.hpp>
 #include <unistd.h>
@@ -206,6 +207,36 @@
   }
 }
 
+// Guards against limits that refuse a large configuration that is valid.
+TEST_CASE("a large valid configuration passes the limits of its VM") {
+  settings::limit_settings Limits;
+  Limits.MemoryMegabytes = 110;
+  setJsonMemory(control::jsonMemoryBytes(Limits, 1));
+  // The largest configuration of review/10: 39 times 350 routes.
+  constexpr int Routes = 39 * 350;
+  std::string Text = R"({"version":7,"services":[{"name":"huvo11a"},)"
+                     R"({"name":"wuno96b"}],"routes":[)";
+  for (int I = 0; I < Routes; ++I) {
+    Text += I == 0 ? "" : ",";
+    Text += R"({"name":"r-j6q5rmm","host":"ficu95.example","path_prefix":"/)" +
+            std::to_string(I) +
+            R"(/","kind":"safe","timeout_ms":5000,"target_latency_ms":800,)"
+            R"("priority":1,"split":[{"service":"huvo11a","weight":90},)"
+            R"({"service":"wuno96b","weight":10}],"max_attempts":2,)"
+            R"("public":false,"sticky":true,"resumable":true})";
+  }
+  Text += "]}";
+  const auto Result =
+      platform::parseAdminRequest(operatorRequest("PUT", "/v1/config", Text));
+  const auto *Order = std::get_if<router::admin_request>(&Result);
+  REQUIRE(Order != nullptr);
+  const auto Parsed = store::parseConfigText(Order->Body);
+  CHECK(Parsed.Errors.empty());
+  CHECK(Parsed.Config.Routes.size() == Routes);
+  CHECK(Parsed.Config.Document == Text);
+  setJsonMemory(DefaultJsonMemoryBytes);
+}
+
 // Guards against faults of a resource that take far more memory than its text.
 TEST_CASE("a complete hostile resource stays within its share of memory") {
   struct row {
