Split the configuration's JSON from the resources'

The visitors of fields stand in store/json_fields.h, the configuration as JSON in store/config_json.cpp; the code is the same but for its place. test_store, test_platform, test_memory, test_control and test_cli pass.

--- a/src/control/resource_api.cpp
+++ b/src/control/resource_api.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json_reader.h"
 #include "net/http_message.h"
+#include "store/config_json.h"
 #include "store/resource_json.h"
 #include <nlohmann/json.hpp>
 
--- a/src/store/resource_json.h
+++ b/src/store/resource_json.h
@@ -8,7 +8,6 @@
 #include "store/resource.h"
 #include <nlohmann/json_fwd.hpp>
 
-#include <string>
 #include <string_view>
 #include <vector>
 
@@ -39,20 +38,6 @@
 [[nodiscard]] parsed_put parsePutText(std::string_view Text,
                                       std::string_view RequestId);
 
-/// A configuration that was read from JSON, and every fault of it.
-struct parsed_config {
-  fleet_config Config;
-  std::vector<field_error> Errors;
-};
-
-/// Reads the fields of a fleet configuration from JSON text and checks them.
-/// Takes little more memory than the configuration, whatever the text holds.
-[[nodiscard]] parsed_config parseConfigText(std::string_view Text);
-/// The text that `parseConfigText` reads.
-[[nodiscard]] std::string configText(const fleet_config &Config);
-/// The same as a value, which takes several times the memory of the text.
-[[nodiscard]] nlohmann::json toJson(const fleet_config &Config);
-
 /// Every fault of a write that was read: those of `Parsed`, and those that
 /// `Store` finds at its current state. Faults that only follow from another
 /// one are left out. A write without faults in `Parsed` belongs into the log
--- a/tests/memory/test_hostile_text.cpp
+++ b/tests/memory/test_hostile_text.cpp
@@ -7,7 +7,7 @@
 #include "platform/instance_codec.h"
 #include "router/stream_validator.h"
 #include "settings/settings.h"
-#include "store/resource_json.h"
+#include "store/config_json.h"
 #include "store/state_machine.h"
 #include <catch2/catch.hpp>
 #include <unistd.h>
--- a/tests/platform/test_platform_codecs.cpp
+++ b/tests/platform/test_platform_codecs.cpp
@@ -2,8 +2,8 @@
 #include "platform/admin_codec.h"
 #include "platform/config_codec.h"
 #include "platform/instance_codec.h"
+#include "store/config_json.h"
 #include "store/config_rules.h"
-#include "store/resource_json.h"
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
