Names in the bounded readers, and one form of the VM's limits in tests

The tests of texts and of messages share tests/memory/ vm_limits.h, with the same bounds. A new check: no source of src/ or platform/ reads JSON around the reader with limits.

--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -164,10 +164,10 @@
       return true;
     }
     json &List = *Open.back();
-    const bool Wanted = Lists.OnElement(List.back());
+    const bool GoesOn = Lists.OnElement(List.back());
     List.clear();
     Used = *ListBytes;
-    return Wanted || fail(json_error::Rejected);
+    return GoesOn || fail(json_error::Rejected);
   }
 
   const json_limits &Limits;
--- a/src/store/config_json.cpp
+++ b/src/store/config_json.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using impl::field_reader;
-using impl::reading;
+using impl::read_context;
 using impl::valueToJson;
 using nlohmann::json;
 
@@ -18,8 +18,8 @@
 /// list is in memory as JSON values.
 class config_lists {
 public:
-  config_lists(fleet_config &Config, reading &Reading)
-      : Config(Config), Fields(NoFields, "", Reading) {}
+  config_lists(fleet_config &Config, read_context &Context)
+      : Config(Config), Fields(NoFields, "", Context) {}
 
   [[nodiscard]] json_list_receiver receiver() {
     return {[this](std::string_view Field) { return begin(Field); },
@@ -90,8 +90,8 @@
 
 parsed_config parseConfigText(std::string_view Text) {
   parsed_config Parsed;
-  reading Reading{Parsed.Errors};
-  config_lists Lists(Parsed.Config, Reading);
+  read_context Context{Parsed.Errors};
+  config_lists Lists(Parsed.Config, Context);
   const auto Read = readJson(Text, jsonLimits(), Lists.receiver());
   const bool IsObject = Read.has_value() && Read.value().is_object();
   if (!IsObject && Parsed.Errors.empty()) {
@@ -105,7 +105,7 @@
     return Parsed;
   }
   // The lists are in the configuration already, and empty in what was read.
-  field_reader Reader(Read.value(), "", Reading);
+  field_reader Reader(Read.value(), "", Context);
   fleet_config::visitFields(Parsed.Config, Reader);
   Reader.finish();
   if (Parsed.Errors.empty()) {
--- a/src/store/json_fields.h
+++ b/src/store/json_fields.h
@@ -72,12 +72,12 @@
 }
 
 /// What the readers of one text share.
-struct reading {
+struct read_context {
   std::vector<field_error> &Errors;
   entry_memory Memory{jsonLimits().MaxBytes};
 
   /// False once no more faults are collected, so that the rest is not read.
-  [[nodiscard]] bool goesOn() const noexcept {
+  [[nodiscard]] bool wantsMore() const noexcept {
     return Errors.size() < MaxFieldErrors;
   }
 };
@@ -85,8 +85,8 @@
 /// Reads the fields of one JSON object and collects its faults.
 class field_reader {
 public:
-  field_reader(const json &In, std::string Path, reading &Reading)
-      : In(In), Path(std::move(Path)), Reading(Reading) {}
+  field_reader(const json &In, std::string Path, read_context &Context)
+      : In(In), Path(std::move(Path)), Context(Context) {}
 
   template <class T> void required(const char *Field, T &Value) {
     if (!read(Field, Value)) {
@@ -102,7 +102,7 @@
   /// Reports the fields that no call has named.
   void finish() {
     for (const auto &[Field, Value] : In.items()) {
-      if (!Reading.goesOn()) {
+      if (!Context.wantsMore()) {
         return;
       }
       if (std::find(Known.begin(), Known.end(), Field) == Known.end()) {
@@ -118,13 +118,13 @@
   bool readEntry(const json &From, const char *Field, std::vector<T> &List) {
     const auto Index = List.size();
     const auto At = fmt::format("{}[{}]", pathOf(Field), Index);
-    if (!Reading.Memory.take<T>()) {
+    if (!Context.Memory.take<T>()) {
       add(At, field_code::OutOfRange,
           "the entries before it fill the memory for one object");
       return false;
     }
     readValue(From, At, List.emplace_back());
-    return Reading.goesOn();
+    return Context.wantsMore();
   }
 
 private:
@@ -132,7 +132,7 @@
     return Path.empty() ? Field : Path + "." + Field;
   }
   void add(std::string At, field_code Code, std::string Message) {
-    addFault(Reading.Errors, {std::move(At), Code, std::move(Message)});
+    addFault(Context.Errors, {std::move(At), Code, std::move(Message)});
   }
   void wrongType(const std::string &At, std::string_view Expected) {
     add(At, field_code::WrongType, fmt::format("expected {}", Expected));
@@ -219,7 +219,7 @@
       wrongType(At, "an object");
       return;
     }
-    field_reader Inner(From, At, Reading);
+    field_reader Inner(From, At, Context);
     T::visitFields(Value, Inner);
     Inner.finish();
   }
@@ -230,7 +230,7 @@
       wrongType(At, "a list");
       return;
     }
-    field_reader Entries(From, "", Reading);
+    field_reader Entries(From, "", Context);
     for (const auto &Entry : From) {
       if (!Entries.readEntry(Entry, At.c_str(), Value)) {
         return;
@@ -240,7 +240,7 @@
 
   const json &In;
   std::string Path;
-  reading &Reading;
+  read_context &Context;
   std::vector<std::string_view> Known;
 };
 
--- a/src/store/resource_json.cpp
+++ b/src/store/resource_json.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 using impl::field_reader;
-using impl::reading;
+using impl::read_context;
 using impl::specToJson;
 using nlohmann::json;
 
@@ -33,39 +33,39 @@
 }
 
 template <class T>
-void readSpec(const json &From, resource_spec &Spec, reading &Reading) {
+void readSpec(const json &From, resource_spec &Spec, read_context &Context) {
   T Value;
-  field_reader Reader(From, "spec", Reading);
+  field_reader Reader(From, "spec", Context);
   T::visitFields(Value, Reader);
   Reader.finish();
   Spec.Value = std::move(Value);
 }
 
 void readSpecOfKind(resource_kind Kind, const json &From, resource_spec &Spec,
-                    reading &Reading) {
+                    read_context &Context) {
   switch (Kind) {
   case resource_kind::Team:
-    return readSpec<team>(From, Spec, Reading);
+    return readSpec<team>(From, Spec, Context);
   case resource_kind::Upstream:
-    return readSpec<upstream>(From, Spec, Reading);
+    return readSpec<upstream>(From, Spec, Context);
   case resource_kind::FailureDomain:
-    return readSpec<failure_domain>(From, Spec, Reading);
+    return readSpec<failure_domain>(From, Spec, Context);
   case resource_kind::Service:
-    return readSpec<service>(From, Spec, Reading);
+    return readSpec<service>(From, Spec, Context);
   case resource_kind::Policy:
-    return readSpec<policy>(From, Spec, Reading);
+    return readSpec<policy>(From, Spec, Context);
   case resource_kind::Pool:
     // The members of a pool object are not read, because no write is allowed.
     Spec.Value = pool{};
     return;
   case resource_kind::Configuration:
-    return readSpec<fleet_config>(From, Spec, Reading);
+    return readSpec<fleet_config>(From, Spec, Context);
   case resource_kind::Instance:
-    return readSpec<instance>(From, Spec, Reading);
+    return readSpec<instance>(From, Spec, Context);
   case resource_kind::Quarantine:
-    return readSpec<quarantine>(From, Spec, Reading);
+    return readSpec<quarantine>(From, Spec, Context);
   case resource_kind::Rollout:
-    return readSpec<rollout>(From, Spec, Reading);
+    return readSpec<rollout>(From, Spec, Context);
   }
 }
 
@@ -163,8 +163,8 @@
   }
   const std::size_t Before = Errors.size();
   auto Kind = resource_kind::Team;
-  reading Reading{Errors};
-  field_reader Reader(Object, "", Reading);
+  read_context Context{Errors};
+  field_reader Reader(Object, "", Context);
   Reader.required("kind", Kind);
   const bool KindKnown = Errors.size() == Before;
   Reader.required("name", Parsed.Put.Name);
@@ -181,7 +181,7 @@
   } else if (!Spec->is_object()) {
     Errors.push_back({"spec", field_code::WrongType, "expected an object"});
   } else if (KindKnown) {
-    readSpecOfKind(Kind, *Spec, Parsed.Put.Spec, Reading);
+    readSpecOfKind(Kind, *Spec, Parsed.Put.Spec, Context);
   }
   if (KindKnown && Spec != Object.end() && Spec->is_object()) {
     Errors = merge(Errors, checkValues(Parsed.Put.Name, Parsed.Put.Spec));
--- a/tests/memory/test_hostile_message.cpp
+++ b/tests/memory/test_hostile_message.cpp
@@ -1,10 +1,9 @@
 #include "base/codec.h"
-#include "base/json_reader.h"
-#include "control/memory_limits.h"
 #include "control/messages.h"
 #include "heap_meter.h"
 #include "store/config_update.h"
 #include "traffic/slot_messages.h"
+#include "vm_limits.h"
 #include <catch2/catch.hpp>
 
 #include <cstddef>
@@ -17,11 +16,9 @@
 namespace {
 
 constexpr std::size_t MessageBytes = (std::size_t{8} << 20U) - 64;
-/// A smallest VM of a deployment, in megabytes.
-constexpr std::uint64_t MemoryMegabytes = 88;
-/// Half of it: a message comes through the mesh, of which the fleet knows all
-/// members, and stands in memory twice itself.
-constexpr std::size_t MaxHeapBytes = MemoryMegabytes * 1'000'000 / 2;
+/// Half of the smallest VM: a message comes through the mesh, of which the
+/// fleet knows all members, and stands in memory twice itself.
+constexpr std::size_t MaxHeapBytes = tests::SmallestVmBytes / 2;
 
 /// An array of as many elements as the message has room for, each the same.
 std::string arrayOf(const std::string &Element, std::size_t Size) {
@@ -51,9 +48,7 @@
 // Guards against a frame of a peer that ends the process by what it is decoded
 // into.
 TEST_CASE("a hostile message stays within its share of memory") {
-  settings::limit_settings Limits;
-  Limits.MemoryMegabytes = MemoryMegabytes;
-  setJsonMemory(control::jsonMemoryBytes(Limits, 1));
+  const tests::vm_limits Limits;
   struct row {
     const char *Reader;
     std::function<bool(const std::string &)> Refuses;
@@ -87,14 +82,11 @@
   // A length that the message does not have.
   CHECK(isRefused<std::vector<int>>(std::string("\xdd\x7f\xff\xff\xff") +
                                     std::string(100'000, '\0')));
-  setJsonMemory(DefaultJsonMemoryBytes);
 }
 
 // Guards against a limit that stops the configuration of a large fleet.
 TEST_CASE("a large configuration fits the memory for messages") {
-  settings::limit_settings Limits;
-  Limits.MemoryMegabytes = MemoryMegabytes;
-  setJsonMemory(control::jsonMemoryBytes(Limits, 1));
+  const tests::vm_limits Limits;
   store::traffic_route Route;
   Route.Name = "r-j6q5rmm";
   Route.Host = "ficu95.example";
@@ -105,5 +97,4 @@
   const auto Bytes = encode(Routes);
   CAPTURE(Bytes.size());
   CHECK(decodeMessage<std::vector<store::traffic_route>>(Bytes).has_value());
-  setJsonMemory(DefaultJsonMemoryBytes);
 }
--- a/tests/memory/test_hostile_text.cpp
+++ b/tests/memory/test_hostile_text.cpp
@@ -1,6 +1,4 @@
-#include "base/json_reader.h"
 #include "cli/resource_file.h"
-#include "control/memory_limits.h"
 #include "control/resource_api.h"
 #include "heap_meter.h"
 #include "platform/admin_codec.h"
@@ -9,6 +7,7 @@
 #include "settings/settings.h"
 #include "store/config_json.h"
 #include "store/state_machine.h"
+#include "vm_limits.h"
 #include <catch2/catch.hpp>
 #include <unistd.h>
 
@@ -28,23 +27,9 @@
 constexpr std::size_t Mebibyte = std::size_t{1} << 20U;
 /// Half of the largest body of callers, and the largest of operators.
 constexpr std::size_t TextSizes[] = {2 * Mebibyte, 16 * Mebibyte};
-/// Memory of the smallest VM that a deployment has, in megabytes.
-constexpr std::uint64_t MemoryMegabytes = 88;
-/// A quarter of it. The text itself and what the process holds beside it have
-/// the rest.
-constexpr std::size_t MaxHeapBytes = MemoryMegabytes * 1'000'000 / 4;
-
-/// Limits of a process of that VM while a test runs.
-struct small_vm {
-  small_vm() {
-    settings::limit_settings Limits;
-    Limits.MemoryMegabytes = MemoryMegabytes;
-    setJsonMemory(control::jsonMemoryBytes(Limits, 1));
-  }
-  small_vm(const small_vm &) = delete;
-  small_vm &operator=(const small_vm &) = delete;
-  ~small_vm() { setJsonMemory(DefaultJsonMemoryBytes); }
-};
+/// A quarter of the smallest VM. The text itself and what the process holds
+/// beside it have the rest.
+constexpr std::size_t MaxHeapBytes = tests::SmallestVmBytes / 4;
 
 /// A text of some size that becomes far more memory than it has bytes.
 struct hostile_form {
@@ -119,7 +104,7 @@
 // Guards against one text of an operator whose memory is not bounded before it
 // is read into objects, which ended each process that it was sent to.
 TEST_CASE("a hostile order is refused within its share of memory") {
-  const small_vm Vm;
+  const tests::vm_limits Limits;
   struct row {
     std::string Reader;
     std::string Begin;
@@ -182,7 +167,7 @@
 // Guards against a text that is complete, so that all of it is read, and only
 // then found to be none of an order.
 TEST_CASE("a complete hostile configuration stays within its share of memory") {
-  const small_vm Vm;
+  const tests::vm_limits Limits;
   struct row {
     const char *Begin;
     const char *End;
@@ -209,9 +194,7 @@
 
 // Guards against limits that refuse a large configuration that is valid.
 TEST_CASE("a large valid configuration passes the limits of its VM") {
-  settings::limit_settings Limits;
-  Limits.MemoryMegabytes = 110;
-  setJsonMemory(control::jsonMemoryBytes(Limits, 1));
+  const tests::vm_limits Limits(110);
   // The largest configuration of review/10: 39 times 350 routes.
   constexpr int Routes = 39 * 350;
   std::string Text = R"({"version":7,"services":[{"name":"huvo11a"},)"
@@ -234,7 +217,6 @@
   CHECK(Parsed.Errors.empty());
   CHECK(Parsed.Config.Routes.size() == Routes);
   CHECK(Parsed.Config.Document == Text);
-  setJsonMemory(DefaultJsonMemoryBytes);
 }
 
 // Guards against faults of a resource that take far more memory than its text.
@@ -272,7 +254,7 @@
 
 // Guards against a page of the list of instances that ends the leader.
 TEST_CASE("a hostile page of instances stays within its share of memory") {
-  const small_vm Vm;
+  const tests::vm_limits Limits;
   constexpr std::size_t PageBytes = 4 * Mebibyte;
   for (const char *Begin :
        {"", "[", R"({"instances":[)", R"({"instances":[{"x":[)",
@@ -291,7 +273,7 @@
 
 // Guards against one event of an engine's stream that ends the router.
 TEST_CASE("a hostile event of a stream stays within its share of memory") {
-  const small_vm Vm;
+  const tests::vm_limits Limits;
   for (const char *Begin :
        {"data: ", "data: [", R"(data: {"id":"u","choices":[)"}) {
     for (const auto &Form : Forms) {
@@ -308,7 +290,7 @@
 
 // Guards against a file of resources that takes the operator's machine down.
 TEST_CASE("a hostile file of resources stays within its share of memory") {
-  const small_vm Vm;
+  const tests::vm_limits Limits;
   for (const char *Begin :
        {"", "[", R"([{"kind":"team","name":"t","spec":{"x":[)"}) {
     for (const auto &Form : Forms) {
@@ -325,7 +307,7 @@
 
 // Guards against a settings file that ends the process that reads it.
 TEST_CASE("a hostile settings file stays within its share of memory") {
-  const small_vm Vm;
+  const tests::vm_limits Limits;
   const hostile_form SettingsForms[] = {
       {"arrays that nest", "["},
       {"tables that nest", "{a="},
--- a/tests/memory/test_json_reader.cpp
+++ b/tests/memory/test_json_reader.cpp
@@ -4,6 +4,9 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <vector>
@@ -130,3 +133,26 @@
   const std::string LongEntry = R"({"taken":[[)" + repeated("0,", 100) + "0]]}";
   CHECK(readJson(LongEntry, {4, 1'000}, Lists).error() == json_error::TooLarge);
 }
+
+// Guards against a reader of JSON without limits.
+TEST_CASE("the sources read JSON through the reader with limits only") {
+  // It reads again what was written here.
+  const std::string Allowed = "request_flow.cpp";
+  std::vector<std::string> Found;
+  for (const std::string Folder : {"/src", "/platform"}) {
+    for (const auto &Entry : std::filesystem::recursive_directory_iterator(
+             ARBUTUS_SOURCE_DIR + Folder)) {
+      if (!Entry.is_regular_file()) {
+        continue;
+      }
+      std::ifstream File(Entry.path());
+      const std::string Text(std::istreambuf_iterator<char>(File), {});
+      const bool Reads = Text.find("json::parse(") != std::string::npos ||
+                         Text.find("json::accept(") != std::string::npos;
+      if (Reads && Entry.path().filename() != Allowed) {
+        Found.push_back(Entry.path().string());
+      }
+    }
+  }
+  CHECK(Found.empty());
+}
