--- a/tests/memory/test_hostile_message.cpp
+++ b/tests/memory/test_hostile_message.cpp
@@ -93,7 +93,8 @@
   Route.PathPrefix = "/lohu930/";
   Route.Targets = {{"huvo11a", 90}, {"wuno96b", 10}};
   // The largest configuration of review/10: 39 times 350 routes.
-  const std::vector<store::traffic_route> Routes(39 * 350, Route);
+  constexpr std::size_t Count = std::size_t{39} * 350;
+  const std::vector<store::traffic_route> Routes(Count, Route);
   const auto Bytes = encode(Routes);
   CAPTURE(Bytes.size());
   CHECK(decodeMessage<std::vector<store::traffic_route>>(Bytes).has_value());
