Comments on the bounds of messages

Two constants said too little, and one something wrong: 64 KiB of empty arrays take 64 KiB times 184 bytes, not a few megabytes. Comments only.

--- a/src/base/codec.cpp
+++ b/src/base/codec.cpp
@@ -10,11 +10,13 @@
 
 namespace {
 
-/// The values of a shorter message take a few megabytes at most.
+/// A shorter message becomes some 12 MB at most, if each byte is an empty array
+/// that is converted to a structure.
 constexpr std::size_t SmallMessageBytes = std::size_t{64} << 10U;
 /// A structure that an array is converted to, of which the message may leave
 /// all fields out.
 constexpr std::size_t StructureBytes = 160;
+/// Memory for one message, as a multiple of that for one JSON text.
 constexpr std::size_t MemoryFactor = 2;
 
 /// Counts the memory of a message's values without building them. The functions
