Review case 13: show the lost requests of ordinary callers

The case now has ten callers with kept connections beside the slow readers, and is judged by the rule LOST: when the process is over its memory and is killed, more than three requests that workers have run get no answer.

--- a/review/stand3/stand.h
+++ b/review/stand3/stand.h
@@ -381,12 +381,26 @@
         }
         const int One = 1;
         ::setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &One, sizeof One);
+        {
+          const std::lock_guard Lock(Mutex);
+          Open.insert(Fd);
+        }
         std::thread([this, Fd] { serve(Fd); }).detach();
       }
     }).detach();
     return true;
   }
 
+  /// Ends like a process: closes its port and all connections.
+  void end() {
+    ::shutdown(Listener, SHUT_RDWR);
+    ::close(Listener);
+    const std::lock_guard Lock(Mutex);
+    for (const int Fd : Open) {
+      ::shutdown(Fd, SHUT_RDWR);
+    }
+  }
+
   std::string stamp(const std::string &Attempt) const {
     return "s3." + Id + "." + Attempt;
   }
@@ -413,6 +427,8 @@
         break;
       }
     }
+    const std::lock_guard Lock(Mutex);
+    Open.erase(Fd);
     ::close(Fd);
   }
 
@@ -447,6 +463,8 @@
   }
 
   int Listener = -1;
+  std::mutex Mutex;
+  std::set<int> Open;
 };
 
 /// The platform's list of workers.
@@ -480,7 +498,12 @@
               Worker->Id + "\"}";
     }
     const std::lock_guard Lock(Mutex);
-    Text = "{\"instances\":[" + List + "],\"next\":null}";
+    Entries = List;
+  }
+  /// Text of an entry by another writer, which stands before the others.
+  void setForeignEntry(const std::string &Entry) {
+    const std::lock_guard Lock(Mutex);
+    ForeignEntry = Entry;
   }
 
 private:
@@ -491,7 +514,9 @@
       std::string Body;
       {
         const std::lock_guard Lock(Mutex);
-        Body = Text;
+        Body = "{\"instances\":[" + ForeignEntry +
+               (ForeignEntry.empty() || Entries.empty() ? "" : ",") + Entries +
+               "],\"next\":null}";
       }
       if (!sendAll(Fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                        "Content-Length: " +
@@ -503,7 +528,8 @@
   }
 
   std::mutex Mutex;
-  std::string Text = "{\"instances\":[],\"next\":null}";
+  std::string Entries;
+  std::string ForeignEntry;
 };
 
 /// One machine of the deployment with its process.
@@ -895,6 +921,100 @@
   return Limit.rlim_max == RLIM_INFINITY || Limit.rlim_max >= Needed;
 }
 
+/// Callers that send one request after the other on a kept connection each.
+class kept_callers {
+public:
+  struct request {
+    std::string Id;
+    bool First = false; ///< on its connection
+    bool Whole = false;
+    bool Closed = false; ///< the connection ended without a whole answer
+  };
+
+  void start(const std::string &Ip, int Port, int Count) {
+    for (int I = 0; I < Count; ++I) {
+      Threads.emplace_back([this, Ip, Port, I] { run(Ip, Port, I); });
+    }
+  }
+
+  std::vector<request> finish() {
+    Ended = true;
+    for (auto &Thread : Threads) {
+      Thread.join();
+    }
+    Threads.clear();
+    return Requests;
+  }
+
+private:
+  /// Half of the callers send unsafe requests, half safe ones.
+  void run(const std::string &Ip, int Port, int Number) {
+    const bool Posts = Number % 2 == 0;
+    int Fd = -1;
+    std::unique_ptr<reader> Reader;
+    for (int Sent = 0; !Ended; ++Sent) {
+      request Request;
+      Request.Id =
+          "kept-" + std::to_string(Number) + "-" + std::to_string(Sent);
+      if (Fd < 0) {
+        Fd = dial(Ip, Port);
+        if (Fd < 0) {
+          sleepFor(100ms);
+          continue;
+        }
+        Reader = std::make_unique<reader>(Fd);
+        Request.First = true;
+      }
+      const auto Text =
+          requestText(Posts ? "POST" : "GET",
+                      Posts ? "/unsafe/deposit" : "/safe/balance", Request.Id,
+                      "Work-Ms: 300\r\n", Posts ? "amount=5" : "");
+      message Answer;
+      const auto Until = clock::now() + 10s;
+      Request.Whole = sendAll(Fd, Text) && Reader->readHead(Answer, Until) &&
+                      Reader->readBody(Answer, Until);
+      Request.Closed = !Request.Whole && !Reader->TimedOut;
+      if (!Request.Whole || Answer.get("Connection") == "close") {
+        ::close(Fd);
+        Fd = -1;
+      }
+      const std::lock_guard Lock(Mutex);
+      Requests.push_back(Request);
+    }
+    if (Fd >= 0) {
+      ::close(Fd);
+    }
+  }
+
+  std::atomic<bool> Ended = false;
+  std::vector<std::thread> Threads;
+  std::mutex Mutex;
+  std::vector<request> Requests;
+};
+
+/// Requests from kept connections that were run by a worker and whose
+/// connection then ended without a whole answer.
+inline int
+countLost(const std::vector<kept_callers::request> &Requests) {
+  int Lost = 0;
+  int Whole = 0;
+  for (const auto &Request : Requests) {
+    Whole += Request.Whole ? 1 : 0;
+    if (Request.Closed && !Request.First && runs().countOf(Request.Id) > 0) {
+      ++Lost;
+      log().line("%s: run, and the kept connection closed without an answer",
+                 Request.Id.c_str());
+    }
+  }
+  log().line("requests on kept connections: %zu, answered whole: %d, passed on "
+             "to a sound worker and not answered: %d",
+             Requests.size(), Whole, Lost);
+  return Lost;
+}
+
+/// The rule LOST allows this many of them.
+constexpr int MostLost = 3;
+
 inline bool isTroubled() {
   const char *Trouble = std::getenv("TROUBLE");
   return Trouble == nullptr || std::string_view(Trouble) != "0";
