--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -2,6 +2,6 @@
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
-program=../../target/review-3/slow_reader_drain
+program=../../target/review-3/endless_lines
 [ -x "$program" ] && [ -x ../../target/arbutustack ] || exit 2
 "$program" "$(realpath ../..)" record.txt
