--- a/review/11/endless_lines.cpp
+++ b/review/11/endless_lines.cc
@@ -1,7 +1,7 @@
 // One worker in trouble answers streams with lines that never make an event,
 // without end. Checks that the router goes on answering other callers.
 
-#include "stand.h"
+#include "stand.hh"
 
 namespace {
 
@@ -91,10 +91,10 @@
   std::atomic<int> StreamsWhole = 0;
   for (int I = 0; I < Streams; ++I) {
     Threads.emplace_back([&, I] {
-      const auto Answer =
-          call(Router.Ip, Fleet.Ports.Front,
-               requestText("GET", "/stream/chat", "stream-" + std::to_string(I)),
-               13s);
+      const auto Answer = call(
+          Router.Ip, Fleet.Ports.Front,
+          requestText("GET", "/stream/chat", "stream-" + std::to_string(I)),
+          13s);
       StreamsWhole += Answer.Status == 200 && Answer.Whole ? 1 : 0;
     });
   }
@@ -102,14 +102,13 @@
     Threads.emplace_back([&, I] {
       auto &Call = Calls[static_cast<std::size_t>(I)];
       Call.SentAt = elapsed();
-      Call.Status = call(Router.Ip, Fleet.Ports.Front,
-                         requestText("GET", "/safe/balance",
-                                     "plain-" + std::to_string(I),
-                                     "Deadline-Ms: " +
-                                         std::to_string(PlainDeadlineMs) +
-                                         "\r\n"),
-                         std::chrono::milliseconds(PlainDeadlineMs))
-                        .Status;
+      Call.Status =
+          call(Router.Ip, Fleet.Ports.Front,
+               requestText("GET", "/safe/balance", "plain-" + std::to_string(I),
+                           "Deadline-Ms: " + std::to_string(PlainDeadlineMs) +
+                               "\r\n"),
+               std::chrono::milliseconds(PlainDeadlineMs))
+              .Status;
       Call.Seconds = elapsed() - Call.SentAt;
     });
     sleepFor(PlainInterval);
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/1[1-5]/*.cpp; do
+for source in review/1[1-5]/*.cc; do
   g++ -std=c++20 -O2 -Wall -Wextra -Ireview/stand3 "$source" \
-    -o "target/review-3/$(basename "$source" .cpp)" -pthread
+    -o "target/review-3/$(basename "$source" .cc)" -pthread
 done
--- a/review/stand3/stand.h
+++ b/review/stand3/stand.hh
@@ -2,6 +2,7 @@
 #define REVIEW_STAND3_STAND_H
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -22,7 +23,6 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <fcntl.h>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -408,10 +408,10 @@
   std::string head(int Status, const message &Request, std::size_t Length,
                    const std::string &More = {}) const {
     const auto Attempt = Request.get("Attempt-Id");
-    return "HTTP/1.1 " + std::to_string(Status) + " Status\r\nAttempt-Id: " +
-           Attempt + "\r\nServer-Stamp: " + stamp(Attempt) +
-           "\r\nInstance-Load: 1,0," + std::to_string(Slots) +
-           "\r\nKeep-Alive: timeout=10\r\n" + More +
+    return "HTTP/1.1 " + std::to_string(Status) +
+           " Status\r\nAttempt-Id: " + Attempt +
+           "\r\nServer-Stamp: " + stamp(Attempt) + "\r\nInstance-Load: 1,0," +
+           std::to_string(Slots) + "\r\nKeep-Alive: timeout=10\r\n" + More +
            "Content-Length: " + std::to_string(Length) + "\r\n\r\n";
   }
 
@@ -435,8 +435,7 @@
   bool answer(int Fd, const message &Request) {
     if (Request.target() == "/health") {
       return sendAll(Fd, "HTTP/1.1 200 OK\r\nInstance-Id: " + Id +
-                             "\r\nInstance-Load: 0,0," +
-                             std::to_string(Slots) +
+                             "\r\nInstance-Load: 0,0," + std::to_string(Slots) +
                              "\r\nContent-Length: 0\r\n\r\n");
     }
     const auto Attempt = Request.get("Attempt-Id");
@@ -488,14 +487,15 @@
   void set(const std::vector<worker *> &Workers) {
     std::string List;
     for (const auto *Worker : Workers) {
-      List += std::string(List.empty() ? "" : ",") + "{\"service\":\"" +
-              Worker->Service + "\",\"address\":\"" + Worker->Ip + ":" +
-              std::to_string(Worker->Port) + "\",\"zone\":\"" + Worker->Zone +
-              "\",\"version\":\"v1\",\"slots\":" +
-              std::to_string(Worker->Slots) + ",\"state\":\"" + Worker->State +
-              "\",\"cold_remaining_ms\":0,\"stage\":\"unified\",\"models\":[],"
-              "\"id\":\"" +
-              Worker->Id + "\"}";
+      List +=
+          std::string(List.empty() ? "" : ",") + "{\"service\":\"" +
+          Worker->Service + "\",\"address\":\"" + Worker->Ip + ":" +
+          std::to_string(Worker->Port) + "\",\"zone\":\"" + Worker->Zone +
+          "\",\"version\":\"v1\",\"slots\":" + std::to_string(Worker->Slots) +
+          ",\"state\":\"" + Worker->State +
+          "\",\"cold_remaining_ms\":0,\"stage\":\"unified\",\"models\":[],"
+          "\"id\":\"" +
+          Worker->Id + "\"}";
     }
     const std::lock_guard Lock(Mutex);
     Entries = List;
@@ -707,15 +707,15 @@
     const auto At = [&](int Port) {
       return "\"" + Machine.Ip + ":" + std::to_string(Port) + "\"\n";
     };
-    std::string Text = "[node]\nname = \"" + Machine.Name + "\"\nroles = " +
-                       (Machine.HasDisk ? "[\"router\", \"control\"]"
-                                        : "[\"router\"]") +
-                       "\nfailure_domain = \"" + Machine.Zone +
-                       "\"\nregion = \"region-1\"\n";
+    std::string Text =
+        "[node]\nname = \"" + Machine.Name + "\"\nroles = " +
+        (Machine.HasDisk ? "[\"router\", \"control\"]" : "[\"router\"]") +
+        "\nfailure_domain = \"" + Machine.Zone + "\"\nregion = \"region-1\"\n";
     if (Machine.HasDisk) {
       Text += "data_directory = \"" + Base + "/state\"\n";
     }
-    Text += "[listen]\nhttp = " + At(Ports.Metrics) + "mesh = " + At(Ports.Mesh);
+    Text +=
+        "[listen]\nhttp = " + At(Ports.Metrics) + "mesh = " + At(Ports.Mesh);
     Text += "[fleet]\nseeds = [";
     for (int I = 1; I <= 3; ++I) {
       Text += std::string(I == 1 ? "" : ", ") + "\"" + ipOf(I) + ":" +
@@ -782,8 +782,7 @@
   if (More.find("Deadline-Ms") == std::string::npos) {
     Text += "Deadline-Ms: 12000\r\n";
   }
-  if (Method != "GET" &&
-      More.find("Transfer-Encoding") == std::string::npos) {
+  if (Method != "GET" && More.find("Transfer-Encoding") == std::string::npos) {
     Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   }
   return Text + "\r\n" + Body;
@@ -795,8 +794,8 @@
   const auto Route = [&](const std::string &Name, const std::string &Kind,
                          const std::string &Service, int Attempts,
                          const std::string &More) {
-    const std::string Timeout = std::to_string(
-        Kind == "streaming" ? StreamTimeoutMs : PlainTimeoutMs);
+    const std::string Timeout =
+        std::to_string(Kind == "streaming" ? StreamTimeoutMs : PlainTimeoutMs);
     return "{\"name\":\"" + Name + "\",\"host\":\"" + Host +
            "\",\"path_prefix\":\"/" + Name + "/\",\"kind\":\"" + Kind +
            "\",\"timeout_ms\":" + Timeout +
@@ -827,8 +826,8 @@
       "application/json\r\nContent-Length: " +
       std::to_string(Config.size()) + "\r\n\r\n" + Config;
   for (std::size_t I = 0; clock::now() < Until; ++I) {
-    const auto Answer = call(Fleet.Machines[I % 3].Ip, Fleet.Ports.Control,
-                             Text, 1000ms);
+    const auto Answer =
+        call(Fleet.Machines[I % 3].Ip, Fleet.Ports.Control, Text, 1000ms);
     if (Answer.Status == 200) {
       return true;
     }
@@ -883,7 +882,8 @@
     }
     publish();
     if (!List.start(Fleet.ipOf(19), Fleet.Ports.Platform) ||
-        !putConfig(Fleet, configText(1, Options.PlainTimeoutMs)) || !waitReady(Fleet)) {
+        !putConfig(Fleet, configText(1, Options.PlainTimeoutMs)) ||
+        !waitReady(Fleet)) {
       return false;
     }
     sleepFor(1500ms); // the list of workers has reached every machine
@@ -965,10 +965,9 @@
         Reader = std::make_unique<reader>(Fd);
         Request.First = true;
       }
-      const auto Text =
-          requestText(Posts ? "POST" : "GET",
-                      Posts ? "/unsafe/deposit" : "/safe/balance", Request.Id,
-                      "Work-Ms: 300\r\n", Posts ? "amount=5" : "");
+      const auto Text = requestText(
+          Posts ? "POST" : "GET", Posts ? "/unsafe/deposit" : "/safe/balance",
+          Request.Id, "Work-Ms: 300\r\n", Posts ? "amount=5" : "");
       message Answer;
       const auto Until = clock::now() + 10s;
       Request.Whole = sendAll(Fd, Text) && Reader->readHead(Answer, Until) &&
@@ -994,8 +993,7 @@
 
 /// Requests from kept connections that were run by a worker and whose
 /// connection then ended without a whole answer.
-inline int
-countLost(const std::vector<kept_callers::request> &Requests) {
+inline int countLost(const std::vector<kept_callers::request> &Requests) {
   int Lost = 0;
   int Whole = 0;
   for (const auto &Request : Requests) {
