Count the search for events, and log reads that hold an event loop

Three hypotheses fit what callers see: the search for the end of an event, the writes to callers, and the retries of the streams.

Ruled out: a metric of the event loop's lag. It is known from the shedding lines and says as little of the cause.

Change: long_read names the server whose bytes kept the loop for over 20 ms. arbutus_stream_bytes_total and arbutus_stream_searched_bytes_total count, on both interfaces, what was received of event streams and what was searched for the ends of their events. bench/pieces.cpp measures each reader in process; the meter of the heap now counts all blocks, not only the peak.

Behaviour is unchanged. build/test_traffic, test_router, test_net, test_memory, test_platform and tests/docs.sh pass.

--- /dev/null
+++ b/bench/pieces.cpp
@@ -0,0 +1,295 @@
+// Measures the readers that get bytes in pieces: processor time and memory for
+// a byte while the number of bytes doubles. Both stay flat in a sound reader,
+// whatever the pieces are. Prints one JSON object a row.
+
+#include "common/load/answer_check.h"
+#include "memory/heap_meter.h"
+#include "net/answer_head.h"
+#include "net/answer_parser.h"
+#include "net/body_memory.h"
+#include "net/frame_stream.h"
+#include "router/stream_validator.h"
+#include "traffic/event_splitter.h"
+
+#include <cstdint>
+#include <cstdio>
+#include <ctime>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+using namespace arbutus;
+
+namespace {
+
+constexpr std::size_t KiB = 1024;
+constexpr std::size_t MiB = 1024 * KiB;
+/// Sizes of one reader and form: the largest, and each a half of the next.
+constexpr int Sizes = 4;
+/// A measurement that took longer ends its row, whose next would take twice or
+/// four times as long.
+constexpr double LongMeasurementSeconds = 2;
+
+using bytes_function = std::function<void(std::string_view)>;
+
+/// Bytes that are repeated up to the size of a measurement.
+struct form {
+  std::string Name;
+  std::string Part;
+};
+
+struct reader {
+  std::string Name;
+  /// Up to the limit of the reader, so that all bytes are read.
+  std::size_t MaxBytes;
+  std::vector<form> Forms;
+  std::vector<std::size_t> Pieces;
+  /// Begins a message, and returns the function that takes its pieces.
+  std::function<bytes_function()> Begin;
+  /// Encodes the repeated bytes. Empty if they are read as they are.
+  std::function<std::string(const std::string &)> Encode;
+};
+
+std::string repeated(const std::string &Part, std::size_t Bytes) {
+  std::string Text;
+  Text.reserve(Bytes + Part.size());
+  while (Text.size() < Bytes) {
+    Text += Part;
+  }
+  Text.resize(Bytes);
+  return Text;
+}
+
+void readInPieces(std::string_view Bytes, std::size_t Piece,
+                  const bytes_function &Read) {
+  for (std::size_t At = 0; At < Bytes.size(); At += Piece) {
+    Read(Bytes.substr(At, Piece));
+  }
+}
+
+/// Processor time of this thread.
+double threadSeconds() {
+  timespec Time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
+  return static_cast<double>(Time.tv_sec) +
+         static_cast<double>(Time.tv_nsec) / 1e9;
+}
+
+/// The events of a stream as a faulty or an unusual upstream may send them.
+std::vector<form> eventForms() {
+  return {{"no line end", "x"},
+          {"lines, LF", "aaaaaaa\n"},
+          {"lines, CRLF", "aaaaaaa\r\n"},
+          {"lines, CR", "aaaaaaa\r"},
+          {"only CR", "\r"},
+          {"LF and CR", "\n\ra"},
+          {"ids", "id: 1\n"},
+          {"comments", ": c\n"},
+          {"whole events", "a\n\n"},
+          {"whole events, CRLF", "a\r\n\r\n"},
+          {"whole events with an id", "id: 1\n\n"},
+          {"whole comments", ":\n\n"},
+          {"empty lines", "\n"}};
+}
+
+std::string chunked(const std::string &Body) {
+  std::string Text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  Text.reserve(Text.size() + 6 * Body.size());
+  for (const char Byte : Body) {
+    Text += "1\r\n";
+    Text += Byte;
+    Text += "\r\n";
+  }
+  return Text;
+}
+
+/// A parser and the call that it reads the answer of.
+struct parsed_call {
+  net::http_call Call;
+  net::impl::answer_parser Parser{Call, "upstream"};
+};
+
+bytes_function beginAnswer() {
+  auto Answer = std::make_shared<parsed_call>();
+  Answer->Parser.start();
+  return [Answer](std::string_view Bytes) { Answer->Parser.read(Bytes); };
+}
+
+std::vector<reader> streamReaders() {
+  return {{"event_splitter",
+           256 * KiB,
+           eventForms(),
+           {1, 8, 16 * KiB},
+           [] {
+             auto Events = std::make_shared<traffic::event_splitter>();
+             return [Events](std::string_view Bytes) {
+               (void)Events->append(Bytes);
+             };
+           },
+           nullptr},
+          {"stream_validator",
+           MiB,
+           eventForms(),
+           {1, 8, 16 * KiB},
+           [] {
+             auto Events =
+                 std::make_shared<router::stream_validator>("own", "public");
+             return [Events](std::string_view Bytes) {
+               (void)Events->feed(Bytes);
+             };
+           },
+           nullptr},
+          {"answer_check",
+           MiB,
+           {{"no line end", "x"}, {"lines", "aaaaaaa\n"}, {"CR", "a\r"}},
+           {1, 16 * KiB},
+           [] {
+             auto Plan = std::make_shared<tools::request_plan>();
+             Plan->Kind = tools::request_kind::ChatStream;
+             auto Check = std::make_shared<tools::answer_check>(*Plan);
+             return [Plan, Check](std::string_view Bytes) {
+               (void)Check->consume(Bytes, 200);
+             };
+           },
+           nullptr}};
+}
+
+std::vector<reader> messageReaders() {
+  return {{"feedFrames",
+           8 * MiB - KiB,
+           {{"one frame", "x"}},
+           {1, 1448, 64 * KiB},
+           [] {
+             auto Stream = std::make_shared<net::frame_stream>();
+             return [Stream](std::string_view Bytes) {
+               (void)net::feedFrames(*Stream, Bytes, [](auto) {});
+             };
+           },
+           [](const std::string &Bytes) {
+             return net::withLength(Bytes).substr(0, Bytes.size());
+           }},
+          {"feedFrames",
+           8 * MiB,
+           {{"empty frames", std::string(4, '\0')},
+            {"frames of a byte", std::string("\1\0\0\0x", 5)}},
+           {1, 1448, 64 * KiB},
+           [] {
+             auto Stream = std::make_shared<net::frame_stream>();
+             return [Stream](std::string_view Bytes) {
+               (void)net::feedFrames(*Stream, Bytes, [](auto) {});
+             };
+           },
+           nullptr},
+          {"answer_parser, head",
+           32 * KiB,
+           {{"one field", "x"}},
+           {1, 16 * KiB},
+           beginAnswer,
+           [](const std::string &Bytes) {
+             return "HTTP/1.1 200 OK\r\nName: " + Bytes;
+           }},
+          {"answer_parser, head",
+           32 * KiB,
+           {{"empty lines", "\r\n"}},
+           {1, 16 * KiB},
+           beginAnswer,
+           nullptr},
+          {"answer_parser, chunks of a byte",
+           4 * MiB,
+           {{"body", "x"}},
+           {1, 16 * KiB},
+           beginAnswer,
+           chunked}};
+}
+
+void printRow(const reader &Reader, const form &Form, std::size_t Piece,
+              std::size_t Size, double Seconds, const tests::heap_use &Heap) {
+  const auto Bytes = static_cast<double>(Size);
+  std::printf("{\"reader\": \"%s\", \"form\": \"%s\", \"piece\": %zu, "
+              "\"bytes\": %zu, \"ns_a_byte\": %.2f, \"peak_a_byte\": %.2f, "
+              "\"allocated_a_byte\": %.2f}\n",
+              Reader.Name.c_str(), Form.Name.c_str(), Piece, Size,
+              Seconds * 1e9 / Bytes, static_cast<double>(Heap.Peak) / Bytes,
+              static_cast<double>(Heap.Allocated) / Bytes);
+  std::fflush(stdout);
+}
+
+void measure(const reader &Reader, const form &Form, std::size_t Piece) {
+  for (int I = Sizes - 1; I >= 0; --I) {
+    const std::size_t Size = Reader.MaxBytes >> static_cast<unsigned>(I);
+    std::string Bytes = repeated(Form.Part, Size);
+    if (Reader.Encode) {
+      Bytes = Reader.Encode(Bytes);
+    }
+    double Seconds = 0;
+    const auto Heap = tests::heapUse([&] {
+      const auto Read = Reader.Begin();
+      const double Start = threadSeconds();
+      readInPieces(Bytes, Piece, Read);
+      Seconds = threadSeconds() - Start;
+    });
+    printRow(Reader, Form, Piece, Size, Seconds, Heap);
+    if (Seconds > LongMeasurementSeconds) {
+      return;
+    }
+  }
+}
+
+/// Time of one small body beside a crowd of open ones. When the memory is full,
+/// each takes the place of another one.
+void measureCrowd(std::size_t Crowd, bool IsFull) {
+  constexpr std::size_t BodyBytes = 512;
+  constexpr int Rounds = 2000;
+  net::body_memory Memory(IsFull ? Crowd * BodyBytes : 64 * MiB);
+  std::vector<std::unique_ptr<net::request_body>> Bodies;
+  const std::string Bytes(BodyBytes, 'x');
+  const auto Add = [&] {
+    const auto Index = Bodies.size();
+    Bodies.push_back(std::make_unique<net::request_body>(
+        Memory, [&Bodies, Index] { Bodies[Index].reset(); }));
+    (void)Bodies.back()->append(Bytes, instant(duration(Index)));
+  };
+  for (std::size_t I = 0; I < Crowd; ++I) {
+    Add();
+  }
+  const double Start = threadSeconds();
+  for (int I = 0; I < Rounds; ++I) {
+    Add();
+    if (!IsFull) {
+      Bodies.pop_back();
+    }
+  }
+  std::printf("{\"reader\": \"body_memory\", \"crowd\": %zu, \"full\": %s, "
+              "\"ns_a_body\": %.0f}\n",
+              Crowd, IsFull ? "true" : "false",
+              (threadSeconds() - Start) * 1e9 / Rounds);
+}
+
+} // namespace
+
+/// Usage: bench_pieces [READER]
+int main(int Argc, char **Argv) {
+  const std::string_view Wanted = Argc > 1 ? Argv[1] : "";
+  for (const auto &Readers : {streamReaders(), messageReaders()}) {
+    for (const auto &Reader : Readers) {
+      if (!Wanted.empty() && !Reader.Name.starts_with(Wanted)) {
+        continue;
+      }
+      for (const auto &Form : Reader.Forms) {
+        for (const std::size_t Piece : Reader.Pieces) {
+          measure(Reader, Form, Piece);
+        }
+      }
+    }
+  }
+  if (Wanted.empty() || Wanted == "body_memory") {
+    for (const bool IsFull : {false, true}) {
+      for (std::size_t Crowd = 500; Crowd <= 4000; Crowd *= 2) {
+        measureCrowd(Crowd, IsFull);
+      }
+    }
+  }
+}
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -21,6 +21,9 @@
 /// A connection is given up this long before the server's own idle timeout,
 /// so that a request does not cross the server's close.
 constexpr duration KeepAliveMargin = 700ms;
+/// Handling the bytes of one read for longer than this is logged: all other
+/// connections of the event loop wait meanwhile.
+constexpr duration LongReadThreshold = 20ms;
 
 using user_timeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -233,7 +236,9 @@
 
 void client_connection::onRead(std::string_view Bytes) {
   const auto Self = shared_from_this();
+  const instant Begin = monotonic_clock::now();
   const std::size_t Used = Answer.read(Bytes);
+  logLongRead(Bytes.size(), monotonic_clock::now() - Begin);
   if (Closed) {
     return;
   }
@@ -262,6 +267,16 @@
   read();
 }
 
+void client_connection::logLongRead(std::size_t Bytes, duration Time) const {
+  if (Time > LongReadThreshold) {
+    logEvent(log_level::Warning, "long_read",
+             {{"server", Server.address().to_string()},
+              {"bytes", Bytes},
+              {"body_bytes", Answer.bodyBytes()},
+              {"duration_us", toMicros(Time)}});
+  }
+}
+
 call_outcome client_connection::brokenOutcome() const noexcept {
   return Answer.hasBegun() ? call_outcome::AnswerBroken
                            : call_outcome::SentNoAnswer;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -66,6 +66,8 @@
   void read();
   void onReadable(asio::error_code Error);
   void onRead(std::string_view Bytes);
+  /// Logs a read that kept the event loop from other connections for long.
+  void logLongRead(std::size_t Bytes, duration Time) const;
   /// How a call ends whose answer is not read to its end.
   [[nodiscard]] call_outcome brokenOutcome() const noexcept;
   void onReadEnd(const asio::error_code &Error);
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -103,6 +103,9 @@
       Request->Validator->state() == stream_state::Open) {
     Outcome = net::call_outcome::AnswerBroken;
   }
+  if (Request->Validator) {
+    Request->Context.Metrics.countStreamWork(Request->Validator->takeWork());
+  }
   const double Cost = computeCost(*Request);
   Request->Context.Pools.complete(Request->Service->Pool, Request->Id, Cost,
                                   toPoolOutcome(*Request, Outcome, Valid),
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -40,7 +40,12 @@
                          "Output tokens passed to callers")),
       InvalidResponses(
           &addCounter(Registry, "arbutus_invalid_answers_total",
-                      "Answers for another request, or malformed")) {
+                      "Answers for another request, or malformed")),
+      StreamBytes(&addCounter(Registry, "arbutus_stream_bytes_total",
+                              "Bytes of event streams received")),
+      StreamBytesSearched(
+          &addCounter(Registry, "arbutus_stream_searched_bytes_total",
+                      "Bytes searched for the ends of their events")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("arbutus_request_errors_total")
                      .Help("Requests answered with an error, by type")
@@ -69,6 +74,11 @@
   Latencies.at(Stage)->Observe(toSeconds(Time));
 }
 
+void router_metrics::countStreamWork(const read_work &Work) noexcept {
+  StreamBytes->Increment(static_cast<double>(Work.ReceivedBytes));
+  StreamBytesSearched->Increment(static_cast<double>(Work.SearchedBytes));
+}
+
 void router_metrics::countError(request_error Error) noexcept {
   if (const auto It = Errors.find(Error); It != Errors.end()) {
     It->second->Increment();
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -3,6 +3,7 @@
 
 #include "balance/hedge_policy.h"
 #include "base/clock.h"
+#include "base/read_work.h"
 #include "router/latency_stage.h"
 #include "router/request_error.h"
 #include <prometheus/counter.h>
@@ -27,6 +28,8 @@
   void countRetry() noexcept { Retries->Increment(); }
   void countResume() noexcept { Resumes->Increment(); }
   void countTokens(double Count) noexcept { Tokens->Increment(Count); }
+  /// Adds what an attempt has done with the event stream of its upstream.
+  void countStreamWork(const read_work &Work) noexcept;
   void countInvalidResponse() noexcept { InvalidResponses->Increment(); }
   void countError(request_error Error) noexcept;
   /// Adds the time that a request spent in a stage.
@@ -45,6 +48,8 @@
   prometheus::Counter *Resumes;
   prometheus::Counter *Tokens;
   prometheus::Counter *InvalidResponses;
+  prometheus::Counter *StreamBytes;
+  prometheus::Counter *StreamBytesSearched;
   std::map<request_error, prometheus::Counter *> Errors;
   std::map<balance::hedge_verdict, prometheus::Counter *> Hedges;
   std::map<latency_stage, prometheus::Histogram *> Latencies;
--- a/src/router/stream_validator.cpp
+++ b/src/router/stream_validator.cpp
@@ -51,6 +51,7 @@
     return Forward;
   }
   Buffer += Bytes;
+  Work.ReceivedBytes += Bytes.size();
   std::size_t Start = 0;
   while (State == stream_state::Open) {
     const auto End = Buffer.find("\n\n", Start);
@@ -60,6 +61,7 @@
     processEvent(std::string_view(Buffer).substr(Start, End - Start), Forward);
     Start = End + 2;
   }
+  Work.SearchedBytes += Buffer.size();
   Buffer.erase(0, Start);
   if (Buffer.size() > MaxEventBytes) {
     State = stream_state::Malformed;
--- a/src/router/stream_validator.h
+++ b/src/router/stream_validator.h
@@ -2,11 +2,13 @@
 #define ARBUTUS_ROUTER_STREAM_VALIDATOR_H
 
 #include "base/name_table.h"
+#include "base/read_work.h"
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace arbutus::router {
 
@@ -43,6 +45,11 @@
     return PromptTokens;
   }
 
+  /// Returns the work since the last call of this function.
+  [[nodiscard]] read_work takeWork() noexcept {
+    return std::exchange(Work, {});
+  }
+
 private:
   void processEvent(std::string_view Event, std::string &Forward);
   /// Checks the chunk's token index. Returns false if the chunk is to be
@@ -54,6 +61,7 @@
   std::string UpstreamRequestId;
   std::string CallerRequestId;
   std::string Buffer;
+  read_work Work;
   stream_state State = stream_state::Open;
   std::uint64_t Tokens = 0;
   std::uint64_t PromptTokens = 0;
--- a/src/traffic/event_splitter.cpp
+++ b/src/traffic/event_splitter.cpp
@@ -59,13 +59,16 @@
     return {};
   }
   Buffer += Bytes;
+  Work.ReceivedBytes += Bytes.size();
   std::string Events;
   std::string_view Rest = Buffer;
   for (auto End = findEventEnd(Rest); End.Offset != std::string_view::npos;
        End = findEventEnd(Rest)) {
     emitEvent(Rest.substr(0, End.Offset), Events);
     Rest.remove_prefix(End.Offset);
+    Work.SearchedBytes += End.Offset;
   }
+  Work.SearchedBytes += Rest.size();
   Buffer.erase(0, Buffer.size() - Rest.size());
   if (Buffer.size() > MaxEventBytes) {
     TooLong = true;
--- a/src/traffic/event_splitter.h
+++ b/src/traffic/event_splitter.h
@@ -1,11 +1,14 @@
 #ifndef ARBUTUS_TRAFFIC_EVENT_SPLITTER_H
 #define ARBUTUS_TRAFFIC_EVENT_SPLITTER_H
 
+#include "base/read_work.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace arbutus::traffic {
 
@@ -50,10 +53,16 @@
   /// position to resume from is unknown then.
   [[nodiscard]] bool resumable() const noexcept { return Resumable; }
 
+  /// Returns the work since the last call of this function.
+  [[nodiscard]] read_work takeWork() noexcept {
+    return std::exchange(Work, {});
+  }
+
 private:
   void emitEvent(std::string_view Event, std::string &Events);
 
   std::string Buffer;
+  read_work Work;
   std::optional<std::uint64_t> LastId;
   bool Resumable = true;
   bool TooLong = false;
--- a/src/traffic/traffic_flow.cpp
+++ b/src/traffic/traffic_flow.cpp
@@ -79,6 +79,7 @@
     Outcome = net::call_outcome::AnswerBroken;
   }
   auto &Shard = Request->Shard;
+  Shard.Context.Metrics.countStreamWork(Request->Events.takeWork());
   const auto UpstreamResult = upstreamResultOf(*Request, Outcome);
   if (Request->Attempt.ResponseInfo.Load) {
     Shard.Slots.onLoadReport(Request->Pool, Request->Attempt.Upstream,
--- a/tests/memory/heap_meter.cpp
+++ b/tests/memory/heap_meter.cpp
@@ -13,6 +13,7 @@
 
 std::atomic<std::size_t> UsedBytes = 0;
 std::atomic<std::size_t> PeakBytes = 0;
+std::atomic<std::size_t> AllocatedBytes = 0;
 
 std::size_t blockBytes(void *Block) {
   return malloc_usable_size(Block) + BlockHeaderBytes;
@@ -25,7 +26,9 @@
   if (Block == nullptr) {
     throw std::bad_alloc();
   }
-  const std::size_t Now = UsedBytes += blockBytes(Block);
+  const std::size_t Bytes = blockBytes(Block);
+  AllocatedBytes += Bytes;
+  const std::size_t Now = UsedBytes += Bytes;
   std::size_t Peak = PeakBytes.load();
   while (Now > Peak && !PeakBytes.compare_exchange_weak(Peak, Now)) {
   }
@@ -45,11 +48,17 @@
 
 namespace arbutus::tests {
 
-std::size_t peakHeapBytes(const std::function<void()> &Run) {
-  const std::size_t Before = UsedBytes.load();
-  PeakBytes = Before;
+heap_use heapUse(const std::function<void()> &Run) {
+  const std::size_t UsedBefore = UsedBytes.load();
+  const std::size_t AllocatedBefore = AllocatedBytes.load();
+  PeakBytes = UsedBefore;
   Run();
-  return PeakBytes.load() - Before;
+  return {PeakBytes.load() - UsedBefore,
+          AllocatedBytes.load() - AllocatedBefore};
+}
+
+std::size_t peakHeapBytes(const std::function<void()> &Run) {
+  return heapUse(Run).Peak;
 }
 
 } // namespace arbutus::tests
