Search the bytes of an event stream once, whatever its pieces are

Cause: event_splitter searched the whole partial event anew with each piece, and each chunk of an answer is a piece. Up to the limit of 256 KiB the work grew with the square of the bytes.

The events that are found are the same ones.

Test: "the search for an event's end does not begin anew with a piece". It counts bytes, not time.

--- a/bench/pieces.cpp
+++ b/bench/pieces.cpp
@@ -7,6 +7,7 @@
 #include "net/answer_head.h"
 #include "net/answer_parser.h"
 #include "net/body_memory.h"
+#include "net/event_forms.h"
 #include "net/frame_stream.h"
 #include "router/stream_validator.h"
 #include "traffic/event_splitter.h"
@@ -35,17 +36,11 @@
 
 using bytes_function = std::function<void(std::string_view)>;
 
-/// Bytes that are repeated up to the size of a measurement.
-struct form {
-  std::string Name;
-  std::string Part;
-};
-
 struct reader {
   std::string Name;
   /// Up to the limit of the reader, so that all bytes are read.
   std::size_t MaxBytes;
-  std::vector<form> Forms;
+  std::vector<tests::event_form> Forms;
   std::vector<std::size_t> Pieces;
   /// Begins a message, and returns the function that takes its pieces.
   std::function<bytes_function()> Begin;
@@ -53,23 +48,6 @@
   std::function<std::string(const std::string &)> Encode;
 };
 
-std::string repeated(const std::string &Part, std::size_t Bytes) {
-  std::string Text;
-  Text.reserve(Bytes + Part.size());
-  while (Text.size() < Bytes) {
-    Text += Part;
-  }
-  Text.resize(Bytes);
-  return Text;
-}
-
-void readInPieces(std::string_view Bytes, std::size_t Piece,
-                  const bytes_function &Read) {
-  for (std::size_t At = 0; At < Bytes.size(); At += Piece) {
-    Read(Bytes.substr(At, Piece));
-  }
-}
-
 /// Processor time of this thread.
 double threadSeconds() {
   timespec Time{};
@@ -78,23 +56,6 @@
          static_cast<double>(Time.tv_nsec) / 1e9;
 }
 
-/// The events of a stream as a faulty or an unusual upstream may send them.
-std::vector<form> eventForms() {
-  return {{"no line end", "x"},
-          {"lines, LF", "aaaaaaa\n"},
-          {"lines, CRLF", "aaaaaaa\r\n"},
-          {"lines, CR", "aaaaaaa\r"},
-          {"only CR", "\r"},
-          {"LF and CR", "\n\ra"},
-          {"ids", "id: 1\n"},
-          {"comments", ": c\n"},
-          {"whole events", "a\n\n"},
-          {"whole events, CRLF", "a\r\n\r\n"},
-          {"whole events with an id", "id: 1\n\n"},
-          {"whole comments", ":\n\n"},
-          {"empty lines", "\n"}};
-}
-
 std::string chunked(const std::string &Body) {
   std::string Text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   Text.reserve(Text.size() + 6 * Body.size());
@@ -121,7 +82,7 @@
 std::vector<reader> streamReaders() {
   return {{"event_splitter",
            256 * KiB,
-           eventForms(),
+           tests::EventForms,
            {1, 8, 16 * KiB},
            [] {
              auto Events = std::make_shared<traffic::event_splitter>();
@@ -132,7 +93,7 @@
            nullptr},
           {"stream_validator",
            MiB,
-           eventForms(),
+           tests::EventForms,
            {1, 8, 16 * KiB},
            [] {
              auto Events =
@@ -205,8 +166,9 @@
            chunked}};
 }
 
-void printRow(const reader &Reader, const form &Form, std::size_t Piece,
-              std::size_t Size, double Seconds, const tests::heap_use &Heap) {
+void printRow(const reader &Reader, const tests::event_form &Form,
+              std::size_t Piece, std::size_t Size, double Seconds,
+              const tests::heap_use &Heap) {
   const auto Bytes = static_cast<double>(Size);
   std::printf("{\"reader\": \"%s\", \"form\": \"%s\", \"piece\": %zu, "
               "\"bytes\": %zu, \"ns_a_byte\": %.2f, \"peak_a_byte\": %.2f, "
@@ -217,10 +179,11 @@
   std::fflush(stdout);
 }
 
-void measure(const reader &Reader, const form &Form, std::size_t Piece) {
+void measure(const reader &Reader, const tests::event_form &Form,
+             std::size_t Piece) {
   for (int I = Sizes - 1; I >= 0; --I) {
     const std::size_t Size = Reader.MaxBytes >> static_cast<unsigned>(I);
-    std::string Bytes = repeated(Form.Part, Size);
+    std::string Bytes = tests::repeated(Form.Part, Size);
     if (Reader.Encode) {
       Bytes = Reader.Encode(Bytes);
     }
@@ -228,7 +191,7 @@
     const auto Heap = tests::heapUse([&] {
       const auto Read = Reader.Begin();
       const double Start = threadSeconds();
-      readInPieces(Bytes, Piece, Read);
+      tests::forEachPiece(Bytes, Piece, Read);
       Seconds = threadSeconds() - Start;
     });
     printRow(Reader, Form, Piece, Size, Seconds, Heap);
--- a/src/traffic/event_splitter.cpp
+++ b/src/traffic/event_splitter.cpp
@@ -1,7 +1,6 @@
 #include "traffic/event_splitter.h"
 
 #include <charconv>
-#include <utility>
 
 namespace arbutus::traffic {
 
@@ -10,26 +9,6 @@
 /// Maximum size of an event. It is buffered until it is complete.
 constexpr std::size_t MaxEventBytes = std::size_t{256} << 10U;
 
-/// Offset after the empty line that ends an event.
-struct event_end {
-  std::size_t Offset = std::string_view::npos;
-};
-
-event_end findEventEnd(std::string_view Bytes) {
-  // An empty line is "\n\n" or, with CRLF line ends, "\n\r\n".
-  for (auto Line = Bytes.find('\n'); Line != std::string_view::npos;
-       Line = Bytes.find('\n', Line + 1)) {
-    const std::string_view Next = Bytes.substr(Line + 1);
-    if (Next.substr(0, 1) == "\n") {
-      return {Line + 2};
-    }
-    if (Next.substr(0, 2) == "\r\n") {
-      return {Line + 3};
-    }
-  }
-  return {};
-}
-
 /// The number in the `id` field of an event.
 std::optional<std::uint64_t> idOf(std::string_view Event) {
   static constexpr std::string_view Field = "id:";
@@ -58,28 +37,20 @@
   if (TooLong) {
     return {};
   }
-  Buffer += Bytes;
-  Work.ReceivedBytes += Bytes.size();
   std::string Events;
-  std::string_view Rest = Buffer;
-  for (auto End = findEventEnd(Rest); End.Offset != std::string_view::npos;
-       End = findEventEnd(Rest)) {
-    emitEvent(Rest.substr(0, End.Offset), Events);
-    Rest.remove_prefix(End.Offset);
-    Work.SearchedBytes += End.Offset;
-  }
-  Work.SearchedBytes += Rest.size();
-  Buffer.erase(0, Buffer.size() - Rest.size());
-  if (Buffer.size() > MaxEventBytes) {
+  Buffer.append(Bytes, [this, &Events](std::string_view Event) {
+    emitEvent(Event, Events);
+  });
+  if (Buffer.partial().size() > MaxEventBytes) {
     TooLong = true;
-    Buffer = {};
+    Buffer.clear();
   }
   return Events;
 }
 
 std::string event_splitter::flush() {
-  Resumable = Resumable && Buffer.empty();
-  return std::exchange(Buffer, {});
+  Resumable = Resumable && Buffer.partial().empty();
+  return Buffer.take();
 }
 
 void event_splitter::emitEvent(std::string_view Event, std::string &Events) {
--- a/src/traffic/event_splitter.h
+++ b/src/traffic/event_splitter.h
@@ -1,14 +1,13 @@
 #ifndef ARBUTUS_TRAFFIC_EVENT_SPLITTER_H
 #define ARBUTUS_TRAFFIC_EVENT_SPLITTER_H
 
-#include "base/read_work.h"
+#include "net/event_buffer.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace arbutus::traffic {
 
@@ -42,7 +41,7 @@
   /// True while a part of an event was received and not its end. A stream that
   /// ends there was broken off.
   [[nodiscard]] bool hasPartialEvent() const noexcept {
-    return Buffer.find_first_not_of("\r\n") != std::string::npos;
+    return Buffer.partial().find_first_not_of("\r\n") != std::string_view::npos;
   }
 
   /// Id of the last event returned; nothing before the first.
@@ -54,15 +53,12 @@
   [[nodiscard]] bool resumable() const noexcept { return Resumable; }
 
   /// Returns the work since the last call of this function.
-  [[nodiscard]] read_work takeWork() noexcept {
-    return std::exchange(Work, {});
-  }
+  [[nodiscard]] read_work takeWork() noexcept { return Buffer.takeWork(); }
 
 private:
   void emitEvent(std::string_view Event, std::string &Events);
 
-  std::string Buffer;
-  read_work Work;
+  net::event_buffer Buffer;
   std::optional<std::uint64_t> LastId;
   bool Resumable = true;
   bool TooLong = false;
--- a/tests/traffic/test_event_splitter.cpp
+++ b/tests/traffic/test_event_splitter.cpp
@@ -1,9 +1,11 @@
+#include "net/event_forms.h"
 #include "traffic/event_splitter.h"
 #include <catch2/catch.hpp>
 
 #include <string>
 #include <vector>
 
+using namespace arbutus;
 using namespace arbutus::traffic;
 
 namespace {
@@ -94,3 +96,30 @@
   CHECK(Events.resumable());
   CHECK(Events.append(event(2)) == event(2));
 }
+
+// Guards against an upstream that holds the event loop by an event without end
+// in small pieces: each piece cost a search of all bytes before it.
+TEST_CASE("the search for an event's end does not begin anew with a piece") {
+  constexpr std::size_t StreamBytes = std::size_t{32} << 10U;
+  // A line end and a CR at the end of a piece may begin the empty line.
+  constexpr std::size_t SearchedAgain = 2;
+  for (const auto &Form : tests::EventForms) {
+    const auto Bytes = tests::repeated(Form.Part, StreamBytes);
+    event_splitter AtOnce;
+    const auto Expected = AtOnce.append(Bytes);
+    for (const std::size_t PieceBytes : {1, 8, 1448}) {
+      CAPTURE(Form.Name, PieceBytes);
+      event_splitter Events;
+      std::string Forwarded;
+      std::size_t Pieces = 0;
+      tests::forEachPiece(Bytes, PieceBytes, [&](std::string_view Piece) {
+        Forwarded += Events.append(Piece);
+        ++Pieces;
+      });
+      const auto Work = Events.takeWork();
+      CHECK(Work.ReceivedBytes == StreamBytes);
+      CHECK(Work.SearchedBytes <= StreamBytes + SearchedAgain * Pieces);
+      CHECK(Forwarded == Expected);
+    }
+  }
+}
