Search the events of the product's own interface once, too

Cause: stream_validator, which reads the engines' streams on the product's own interface, had the fault of event_splitter with a limit of 1 MiB: it searched the whole partial event with each piece. It also found only events that end with LF LF, so that an engine with CRLF line ends filled the buffer and was cut off as malformed.

Ruled out: a search of its own for the validator. It would be the third one, and the two that there were disagreed on line ends.

Change: both readers use event_buffer.

Tests: "the validator's search does not begin anew with a piece" and the row "CRLF line ends".

Conclusion: mended.

--- a/src/router/stream_validator.cpp
+++ b/src/router/stream_validator.cpp
@@ -50,20 +50,12 @@
   if (State != stream_state::Open) {
     return Forward;
   }
-  Buffer += Bytes;
-  Work.ReceivedBytes += Bytes.size();
-  std::size_t Start = 0;
-  while (State == stream_state::Open) {
-    const auto End = Buffer.find("\n\n", Start);
-    if (End == std::string::npos) {
-      break;
+  Buffer.append(Bytes, [this, &Forward](std::string_view Event) {
+    if (State == stream_state::Open) {
+      processEvent(Event, Forward);
     }
-    processEvent(std::string_view(Buffer).substr(Start, End - Start), Forward);
-    Start = End + 2;
-  }
-  Work.SearchedBytes += Buffer.size();
-  Buffer.erase(0, Start);
-  if (Buffer.size() > MaxEventBytes) {
+  });
+  if (State == stream_state::Open && Buffer.partial().size() > MaxEventBytes) {
     State = stream_state::Malformed;
   }
   return Forward;
@@ -141,7 +133,6 @@
   Forward += Event.substr(0, At);
   Forward += CallerRequestId;
   Forward += Event.substr(At + UpstreamRequestId.size());
-  Forward += "\n\n";
 }
 
 } // namespace arbutus::router
--- a/src/router/stream_validator.h
+++ b/src/router/stream_validator.h
@@ -2,7 +2,7 @@
 #define ARBUTUS_ROUTER_STREAM_VALIDATOR_H
 
 #include "base/name_table.h"
-#include "base/read_work.h"
+#include "net/event_buffer.h"
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
@@ -46,9 +46,7 @@
   }
 
   /// Returns the work since the last call of this function.
-  [[nodiscard]] read_work takeWork() noexcept {
-    return std::exchange(Work, {});
-  }
+  [[nodiscard]] read_work takeWork() noexcept { return Buffer.takeWork(); }
 
 private:
   void processEvent(std::string_view Event, std::string &Forward);
@@ -60,8 +58,7 @@
 
   std::string UpstreamRequestId;
   std::string CallerRequestId;
-  std::string Buffer;
-  read_work Work;
+  net::event_buffer Buffer;
   stream_state State = stream_state::Open;
   std::uint64_t Tokens = 0;
   std::uint64_t PromptTokens = 0;
--- a/tests/router/test_stream_validator.cpp
+++ b/tests/router/test_stream_validator.cpp
@@ -1,3 +1,4 @@
+#include "net/event_forms.h"
 #include "router/stream_validator.h"
 #include <catch2/catch.hpp>
 
@@ -16,6 +17,14 @@
 
 const std::string Done = "data: [DONE]\n\n";
 
+std::string withCrlf(const std::string &Lines) {
+  std::string Text;
+  for (const char Byte : Lines) {
+    Text += Byte == '\n' ? "\r\n" : std::string(1, Byte);
+  }
+  return Text;
+}
+
 } // namespace
 
 // Guards against chunks of another request, repeated or missing chunks, and
@@ -55,6 +64,8 @@
        "data: {\"id\":\"own\",\"choices\":[{\"delta\":5}]}\n\n" + Done,
        stream_state::Done, 0,
        "data: {\"id\":\"public\",\"choices\":[{\"delta\":5}]}\n\n"},
+      {"CRLF line ends", withCrlf(A0 + A1 + Done), stream_state::Done, 2,
+       withCrlf(P0 + P1)},
       {"comment", ": ping\n\n" + A0 + Done, stream_state::Done, 1, P0},
       {"after the end", A0 + Done + A1, stream_state::Done, 1, P0},
   };
@@ -86,3 +97,27 @@
   CHECK(Validator.state() == stream_state::Done);
   CHECK(Forwarded == chunk("own", 0) + chunk("own", 1) + chunk("own", 2));
 }
+
+// Guards against an engine that holds the event loop by an event without end in
+// small pieces: each piece cost a search of all bytes before it.
+TEST_CASE("the validator's search does not begin anew with a piece") {
+  constexpr std::size_t StreamBytes = std::size_t{32} << 10U;
+  // A line end and a CR at the end of a piece may begin the empty line.
+  constexpr std::size_t SearchedAgain = 2;
+  for (const auto &Form : tests::EventForms) {
+    const auto Bytes = tests::repeated(Form.Part, StreamBytes);
+    for (const std::size_t PieceBytes : {1, 8, 1448}) {
+      CAPTURE(Form.Name, PieceBytes);
+      stream_validator Validator("own", "public");
+      std::size_t Pieces = 0;
+      tests::forEachPiece(Bytes, PieceBytes, [&](std::string_view Piece) {
+        CHECK(Validator.feed(Piece).empty());
+        ++Pieces;
+      });
+      CHECK(Validator.state() == stream_state::Open);
+      const auto Work = Validator.takeWork();
+      CHECK(Work.ReceivedBytes == StreamBytes);
+      CHECK(Work.SearchedBytes <= StreamBytes + SearchedAgain * Pieces);
+    }
+  }
+}
