Copy a frame in pieces a constant number of times

Cause: feedFrames copied the partial frame whole with each read. A frame of 8 MiB that arrives in pieces of 1,448 bytes was copied some 5,800 times, on the one thread that receives all peers' messages. A connection also kept the memory of its longest frame, up to 16 MiB, since assigning a short text to the buffer keeps what the buffer holds.

Ruled out: reserving the announced length. An unauthenticated peer would make the receiver set aside 8 MiB with four bytes.

Change: frame_stream joins its pieces with piece_buffer.

--- a/src/net/frame_stream.cpp
+++ b/src/net/frame_stream.cpp
@@ -33,15 +33,12 @@
 
 bool feedFrames(frame_stream &Stream, std::string_view Bytes,
                 const frame_function &OnFrame) {
-  // Frames that arrive whole are not copied.
-  const bool Buffered = !Stream.Partial.empty();
-  if (Buffered) {
-    Stream.Partial.append(Bytes);
-  }
-  std::string_view Rest = Buffered ? std::string_view(Stream.Partial) : Bytes;
+  const std::string_view Joined = Stream.Partial.join(Bytes);
+  std::string_view Rest = Joined;
   while (Rest.size() >= FramePrefixBytes) {
     const std::size_t Length = lengthOf(Rest);
     if (Length > LongestFrameBytes) {
+      Stream.Partial.clear();
       return false;
     }
     if (Rest.size() < FramePrefixBytes + Length) {
@@ -50,7 +47,7 @@
     OnFrame(Rest.substr(FramePrefixBytes, Length));
     Rest.remove_prefix(FramePrefixBytes + Length);
   }
-  Stream.Partial = std::string(Rest);
+  Stream.Partial.keepAfter(Joined.size() - Rest.size());
   return true;
 }
 
--- a/src/net/frame_stream.h
+++ b/src/net/frame_stream.h
@@ -1,6 +1,8 @@
 #ifndef ARBUTUS_NET_FRAME_STREAM_H
 #define ARBUTUS_NET_FRAME_STREAM_H
 
+#include "base/piece_buffer.h"
+
 #include <cstddef>
 #include <functional>
 #include <string>
@@ -18,7 +20,7 @@
 
 /// The part of a connection's bytes that is not yet a whole frame.
 struct frame_stream {
-  std::string Partial;
+  piece_buffer Partial;
 };
 
 /// Returns a frame preceded by its length, as a connection carries it. The
--- a/tests/memory/heap_meter.cpp
+++ b/tests/memory/heap_meter.cpp
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
 #include <new>
@@ -53,8 +54,10 @@
   const std::size_t AllocatedBefore = AllocatedBytes.load();
   PeakBytes = UsedBefore;
   Run();
+  const std::size_t Used = UsedBytes.load();
   return {PeakBytes.load() - UsedBefore,
-          AllocatedBytes.load() - AllocatedBefore};
+          AllocatedBytes.load() - AllocatedBefore,
+          Used - std::min(Used, UsedBefore)};
 }
 
 std::size_t peakHeapBytes(const std::function<void()> &Run) {
--- a/tests/memory/heap_meter.h
+++ b/tests/memory/heap_meter.h
@@ -10,6 +10,7 @@
 struct heap_use {
   std::size_t Peak = 0;      ///< bytes at once beyond what was in use before it
   std::size_t Allocated = 0; ///< bytes of all blocks, also of freed ones
+  std::size_t Kept = 0;      ///< bytes that are still in use behind it
 };
 
 /// Runs a function and counts its use of `operator new`.
