Search the lines of a checked stream once in the load tool

Cause: answer_check of the load tool searched a line anew with each piece of it, so that a faulty answer made the tool slow, and with it the figures of all other requests that the tool sends.

Change: the search begins behind the bytes that are kept, which have no line end. Bodies that are no streams keep their buffer, now named for that.

Test: "the search for a line's end does not begin anew with a piece".

--- a/tests/tools/test_load_parts.cpp
+++ b/tests/tools/test_load_parts.cpp
@@ -3,6 +3,7 @@
 #include "common/load/profile.h"
 #include "common/load/request_plan.h"
 #include "common/service/execution_log.h"
+#include "net/event_forms.h"
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -101,6 +102,24 @@
   }
 }
 
+// Guards against a load tool that searches a line anew with each piece of it.
+TEST_CASE("the search for a line's end does not begin anew with a piece") {
+  constexpr std::size_t StreamBytes = std::size_t{32} << 10U;
+  const auto Plan = planOf(request_kind::ChatStream);
+  for (const std::string Part : {"x", "\r", "aaaaaaa\n", "a\r\n", "\n"}) {
+    const auto Bytes = tests::repeated(Part, StreamBytes);
+    for (const std::size_t PieceBytes : {1, 1448}) {
+      CAPTURE(Part, PieceBytes);
+      answer_check Check(Plan);
+      tests::forEachPiece(Bytes, PieceBytes, [&](std::string_view Piece) {
+        (void)Check.consume(Piece, 200);
+      });
+      CHECK(Check.work().ReceivedBytes == StreamBytes);
+      CHECK(Check.work().SearchedBytes == StreamBytes);
+    }
+  }
+}
+
 // Guards against double, lost or wrongly denied executions that go uncounted.
 TEST_CASE("answers per ref are compared with the executions") {
   const check_result Ok;
--- a/tools/common/load/answer_check.cpp
+++ b/tools/common/load/answer_check.cpp
@@ -25,22 +25,30 @@
 } // namespace
 
 int answer_check::consume(std::string_view Bytes, int Status) {
-  Buffer.append(Bytes);
   if (Plan.Kind != request_kind::ChatStream || Status != 200) {
+    PlainBody.append(Bytes);
     return 0;
   }
+  return consumeLines(Bytes);
+}
+
+int answer_check::consumeLines(std::string_view Bytes) {
+  const std::size_t Searched = PartialLine.size();
+  const std::string_view Joined = PartialLine.join(Bytes);
   int Count = 0;
   std::size_t Start = 0;
-  for (auto End = Buffer.find('\n'); End != std::string::npos;
-       End = Buffer.find('\n', Start)) {
-    auto Line = std::string_view(Buffer).substr(Start, End - Start);
-    if (!Line.empty() && Line.back() == '\r') {
+  for (auto End = Joined.find('\n', Searched); End != std::string_view::npos;
+       End = Joined.find('\n', Start)) {
+    auto Line = Joined.substr(Start, End - Start);
+    if (Line.ends_with('\r')) {
       Line.remove_suffix(1);
     }
     Count += consumeLine(Line);
     Start = End + 1;
   }
-  Buffer.erase(0, Start);
+  Work.ReceivedBytes += Bytes.size();
+  Work.SearchedBytes += Joined.size() - Searched;
+  PartialLine.keepAfter(Start);
   return Count;
 }
 
@@ -130,7 +138,7 @@
 }
 
 check_result answer_check::finishChat() {
-  const auto Body = json::parse(Buffer, nullptr, false);
+  const auto Body = json::parse(PlainBody, nullptr, false);
   if (!Body.is_object()) {
     return {verdict::Wrong, "malformed_body", ""};
   }
@@ -149,7 +157,7 @@
   if (Plan.ExpectedField.empty()) {
     return {};
   }
-  const auto Body = json::parse(Buffer, nullptr, false);
+  const auto Body = json::parse(PlainBody, nullptr, false);
   if (!Body.is_object()) {
     return {verdict::Wrong, "malformed_body", ""};
   }
@@ -164,7 +172,7 @@
 }
 
 check_result answer_check::readError(int Status) const {
-  const auto Body = json::parse(Buffer, nullptr, false);
+  const auto Body = json::parse(PlainBody, nullptr, false);
   check_result Result{verdict::Error, "http_" + std::to_string(Status), ""};
   if (Body.is_object()) {
     const auto [Type, Outcome] = errorOf(Body);
--- a/tools/common/load/answer_check.h
+++ b/tools/common/load/answer_check.h
@@ -1,6 +1,8 @@
 #ifndef ARBUTUS_TOOLS_COMMON_LOAD_ANSWER_CHECK_H
 #define ARBUTUS_TOOLS_COMMON_LOAD_ANSWER_CHECK_H
 
+#include "base/piece_buffer.h"
+#include "base/read_work.h"
 #include "common/load/request_plan.h"
 
 #include <string>
@@ -43,7 +45,11 @@
   /// Output tokens of the answer as far as known.
   [[nodiscard]] int tokens() const noexcept { return Tokens; }
 
+  /// What was done with the bytes of a stream.
+  [[nodiscard]] const read_work &work() const noexcept { return Work; }
+
 private:
+  int consumeLines(std::string_view Bytes);
   int consumeLine(std::string_view Line);
   void markWrong(std::string_view What);
   [[nodiscard]] check_result finishStream(std::string_view TransportError);
@@ -52,7 +58,9 @@
   [[nodiscard]] check_result readError(int Status) const;
 
   const request_plan &Plan;
-  std::string Buffer;
+  std::string PlainBody;    ///< of an answer that is no stream
+  piece_buffer PartialLine; ///< of a stream
+  read_work Work;
   std::size_t Matched = 0;
   int Tokens = 0;
   bool Done = false;
