Find the body that gives way without looking at all open ones

Cause: body_memory kept the open bodies in a vector. The end of a body, and each search for one that gives way to another, went through all of them, so that the work for one caller's request grew with how many others are connected.

Ruled out: only swapping the ended body with the last. It mends the calm case alone; a crowd that fills the memory is what the class is for.

Change: bodies that can give way are in a set in the order of giving way. A piece does not move its body there: progress is looked at when the body comes up. Bodies give way in the same order as before.

Conclusion: mended.

--- a/src/net/body_memory.cpp
+++ b/src/net/body_memory.cpp
@@ -17,13 +17,13 @@
 
 request_body::request_body(body_memory &Memory, std::function<void()> OnEvicted)
     : Memory(Memory), OnEvicted(std::move(OnEvicted)),
-      ProgressAt(monotonic_clock::now()) {
-  Memory.Bodies.push_back(this);
-}
+      ProgressAt(monotonic_clock::now()) {}
+
+request_body::~request_body() { Memory.release(*this); }
 
-request_body::~request_body() {
-  Memory.release(*this);
-  std::erase(Memory.Bodies, this);
+void request_body::complete() noexcept {
+  Complete = true;
+  Memory.updateRank(*this);
 }
 
 std::size_t request_body::capacityFor(std::size_t Needed) const noexcept {
@@ -33,6 +33,7 @@
 
 bool request_body::append(std::string_view More, instant Now) {
   const auto Needed = Bytes.size() + More.size();
+  ProgressAt = Now;
   if (Needed > Bytes.capacity() || Reserved < Needed) {
     const auto Capacity = capacityFor(Needed);
     if (!Memory.reserve(*this, Capacity)) {
@@ -41,7 +42,6 @@
     Bytes.reserve(Capacity);
   }
   Bytes.append(More);
-  ProgressAt = Now;
   return true;
 }
 
@@ -53,19 +53,32 @@
   return Used.load() + Bytes <= Limit;
 }
 
-request_body *body_memory::largestPartial(const request_body &Beside) const {
-  request_body *Largest = nullptr;
-  for (auto *Body : Bodies) {
-    if (Body == &Beside || Body->Complete || Body->Reserved == 0) {
-      continue;
-    }
-    if (Largest == nullptr || Body->Reserved > Largest->Reserved ||
-        (Body->Reserved == Largest->Reserved &&
-         Body->ProgressAt < Largest->ProgressAt)) {
-      Largest = Body;
+request_body *body_memory::largestPartial(const request_body &Beside) {
+  auto First = Order.begin();
+  while (First != Order.end()) {
+    request_body &Body = *First->Body;
+    ++Examined;
+    if (&Body == &Beside) {
+      ++First;
+    } else if (Body.ProgressAt == First->ProgressAt) {
+      return &Body;
+    } else {
+      updateRank(Body);
+      First = Order.begin();
     }
   }
-  return Largest;
+  return nullptr;
+}
+
+void body_memory::updateRank(request_body &Body) {
+  if (Body.Rank) {
+    Order.erase(*Body.Rank);
+    Body.Rank.reset();
+  }
+  if (!Body.Complete && Body.Reserved > 0) {
+    Body.Rank = eviction_rank{Body.Reserved, Body.ProgressAt, &Body};
+    Order.insert(*Body.Rank);
+  }
 }
 
 bool body_memory::reserve(request_body &Body, std::size_t Capacity) {
@@ -94,11 +107,13 @@
   }
   Used += Capacity - Body.Reserved;
   Body.Reserved = Capacity;
+  updateRank(Body);
   return true;
 }
 
 void body_memory::release(request_body &Body) noexcept {
   Used -= std::exchange(Body.Reserved, 0);
+  updateRank(Body);
 }
 
 } // namespace arbutus::net
--- a/src/net/body_memory.h
+++ b/src/net/body_memory.h
@@ -7,9 +7,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <tuple>
 
 namespace arbutus::net {
 
@@ -17,6 +19,20 @@
 inline constexpr std::size_t SmallBodyBytes = std::size_t{16} << 10U;
 
 class body_memory;
+class request_body;
+
+/// Place of a body in the order in which bodies give way: the largest first, of
+/// equal ones the one without progress for the longest time.
+struct eviction_rank {
+  std::size_t Reserved = 0;
+  instant ProgressAt;
+  request_body *Body = nullptr;
+
+  [[nodiscard]] bool operator<(const eviction_rank &Other) const noexcept {
+    return std::tie(Other.Reserved, ProgressAt, Body) <
+           std::tie(Reserved, Other.ProgressAt, Other.Body);
+  }
+};
 
 /// The body of one request, from its first byte until the request has ended.
 /// Belongs to the memory that it takes from and must not outlive it.
@@ -34,7 +50,7 @@
   /// The length that the caller has announced. No more is kept for the body.
   void setAnnouncedBytes(std::size_t Bytes) noexcept { Announced = Bytes; }
   /// The body is complete: it is not evicted any more.
-  void complete() noexcept { Complete = true; }
+  void complete() noexcept;
   /// Moves the bytes out. They count until the object is destroyed.
   [[nodiscard]] std::string take() noexcept { return std::move(Bytes); }
 
@@ -57,6 +73,8 @@
   std::size_t Reserved = 0;
   bool Complete = false;
   instant ProgressAt;
+  /// Place among the bodies that can give way; empty if this one cannot.
+  std::optional<eviction_rank> Rank;
 };
 
 /// Memory for the bodies of requests that one event loop keeps at once, over
@@ -81,6 +99,10 @@
   [[nodiscard]] std::uint64_t refused() const noexcept {
     return Refused.load();
   }
+  /// Bodies that were looked at to find those that give way.
+  [[nodiscard]] std::uint64_t examined() const noexcept {
+    return Examined.load();
+  }
 
 private:
   friend class request_body;
@@ -91,13 +113,19 @@
   void release(request_body &Body) noexcept;
   [[nodiscard]] bool hasRoom(std::size_t Bytes, bool IsBulk) const noexcept;
   /// The body that gives way first, or null.
-  [[nodiscard]] request_body *largestPartial(const request_body &Beside) const;
+  [[nodiscard]] request_body *largestPartial(const request_body &Beside);
+  /// Puts a body at its present place in the order, or takes it out of the
+  /// order if it cannot give way.
+  void updateRank(request_body &Body);
 
   std::size_t MaxBytes;
   std::atomic<std::size_t> Used = 0;
   std::atomic<std::uint64_t> Evicted = 0;
   std::atomic<std::uint64_t> Refused = 0;
-  std::vector<request_body *> Bodies;
+  std::atomic<std::uint64_t> Examined = 0;
+  /// The bodies that can give way. Progress changes a rank only when the body
+  /// is looked at, so that a piece of a body does not sort the others.
+  std::set<eviction_rank> Order;
 };
 
 } // namespace arbutus::net
--- a/tests/net/test_body_memory.cpp
+++ b/tests/net/test_body_memory.cpp
@@ -119,3 +119,22 @@
     CHECK(Senders.Memory.refused() == 0);
   }
 }
+
+// Load: a crowd fills the memory, and each new body takes the place of another
+// one. Guards against a router that looks at all open bodies for each new one.
+TEST_CASE("the search for the body that gives way does not grow with a crowd") {
+  constexpr std::size_t BodyBytes = 512;
+  constexpr std::size_t NewBodies = 1'000;
+  for (const std::size_t Crowd : {500, 4'000}) {
+    CAPTURE(Crowd);
+    senders Senders(Crowd * BodyBytes);
+    for (std::size_t I = 0; I < Crowd + NewBodies; ++I) {
+      const instant Now = Start + std::chrono::milliseconds(I);
+      REQUIRE(Senders.send(Senders.add(), BodyBytes, BodyBytes, Now));
+    }
+    CHECK(Senders.Memory.evicted() == NewBodies);
+    // Each body that makes progress may be looked at once more.
+    CHECK(Senders.Memory.examined() <= Crowd + 2 * NewBodies);
+    CHECK(Senders.left() == Crowd);
+  }
+}
