Give the connection one write of a stream at a time, and join what waits

Cause: writeChunk handed each event to RESTinio as a write of its own. RESTinio keeps some 270 bytes for each write that waits, in a vector from whose front it takes the next one: the work for an event grew with the events that waited before it. unsentBytes counted three bytes for each, so that the limit of 1 MiB allowed some 95 MB a stream.

Change: one write runs at a time. An event is written at once while nothing waits before it, as before. Both interfaces use this.

That a caller who is 1 MiB behind counts as gone is unchanged.

--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -33,10 +33,12 @@
   /// Starts a chunked answer. Its head is sent with the first chunk.
   virtual void beginStream(int Status, const http_headers &Headers) = 0;
 
-  /// Sends one chunk at once.
+  /// Sends bytes of the chunked answer: at once if the caller's connection has
+  /// taken all before them, else joined with others as soon as it has.
   virtual void writeChunk(std::string Chunk) = 0;
 
-  /// Bytes of chunks that the caller's connection has not taken yet.
+  /// Bytes of the chunked answer that the caller's connection has not taken
+  /// yet. The memory that they take is in proportion to them.
   [[nodiscard]] virtual std::size_t unsentBytes() const noexcept = 0;
 
   /// Ends the chunked answer.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include "base/log.h"
+#include "net/chunk_queue.h"
 #include "net/connection_acceptor.h"
 #include "net/connection_budget.h"
 #include "net/loop_lag.h"
@@ -129,7 +130,8 @@
   }
 }
 
-class exchange_impl final : public http_exchange {
+class exchange_impl final : public http_exchange,
+                            public std::enable_shared_from_this<exchange_impl> {
 public:
   exchange_impl(restinio::request_handle_t Handle, open_exchanges &Open)
       : Handle(std::move(Handle)), Open(&Open),
@@ -193,19 +195,22 @@
 
   void writeChunk(std::string Chunk) override {
     if (Stream && !Finished && !Chunk.empty()) {
-      const std::size_t Size = Chunk.size();
-      *Unsent += Size;
-      Stream->append_chunk(std::move(Chunk));
-      Stream->flush([Unsent = Unsent, Size](const auto &) { *Unsent -= Size; });
+      Waiting.push(std::move(Chunk));
+      writeWaiting();
     }
   }
 
-  std::size_t unsentBytes() const noexcept override { return *Unsent; }
+  std::size_t unsentBytes() const noexcept override {
+    return WritingBytes + Waiting.bytes();
+  }
 
   void endStream() override {
     if (Stream && !Finished) {
       Finished = true;
       Disconnected = nullptr;
+      while (!Waiting.empty()) {
+        Stream->append_chunk(Waiting.pop());
+      }
       Stream->done();
       release();
     }
@@ -217,6 +222,7 @@
     }
     Finished = true;
     Disconnected = nullptr;
+    Waiting.clear();
     release();
     closeConnection(Connection, *Open);
   }
@@ -233,6 +239,7 @@
     }
     Finished = true;
     Answered = true;
+    Waiting.clear();
     if (const auto Callback = std::exchange(Disconnected, nullptr)) {
       Callback();
     }
@@ -257,6 +264,31 @@
     }
   }
 
+  /// Starts the next write unless one is running. RESTinio keeps an entry of
+  /// some 270 bytes for each write that waits, and moves all of them when one
+  /// is done, so only one at a time is given to it.
+  void writeWaiting() {
+    if (WritingBytes != 0 || Waiting.empty()) {
+      return;
+    }
+    std::string Chunk = Waiting.pop();
+    WritingBytes = Chunk.size();
+    Stream->append_chunk(std::move(Chunk));
+    Stream->flush([Weak = weak_from_this()](const asio::error_code &Error) {
+      if (const auto Self = Weak.lock()) {
+        Self->onWritten(Error);
+      }
+    });
+  }
+
+  /// After an error the connection is closed, which `connectionClosed` tells.
+  void onWritten(const asio::error_code &Error) {
+    WritingBytes = 0;
+    if (!Error && !Finished) {
+      writeWaiting();
+    }
+  }
+
   /// Removes this exchange from the table of open ones.
   void release() {
     const auto [First, Last] = Open->ById.equal_range(connectionId());
@@ -290,8 +322,10 @@
   /// Keeps the memory of the body until the request has ended.
   std::unique_ptr<request_body> Body;
   std::optional<chunked_builder> Stream;
-  /// Shared with writes that may end after this object.
-  std::shared_ptr<std::size_t> Unsent = std::make_shared<std::size_t>(0);
+  /// Bytes of the write that is running; 0 if there is none.
+  std::size_t WritingBytes = 0;
+  /// Bytes of the stream behind that write.
+  chunk_queue Waiting;
   std::function<void()> Disconnected;
   bool Answered = false;
   bool Finished = false;
