--- a/bench/pieces.cpp
+++ b/bench/pieces.cpp
@@ -2,6 +2,7 @@
 // a byte while the number of bytes doubles. Both stay flat in a sound reader,
 // whatever the pieces are. Prints one JSON object a row.
 
+#include "base/json_reader.h"
 #include "common/load/answer_check.h"
 #include "memory/heap_meter.h"
 #include "net/answer_head.h"
@@ -10,11 +11,12 @@
 #include "net/event_forms.h"
 #include "net/frame_stream.h"
 #include "router/stream_validator.h"
+#include "settings/settings.h"
+#include "thread_time.h"
 #include "traffic/event_splitter.h"
 
 #include <cstdint>
 #include <cstdio>
-#include <ctime>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +25,7 @@
 #include <vector>
 
 using namespace arbutus;
+using bench::threadSeconds;
 
 namespace {
 
@@ -30,6 +33,8 @@
 constexpr std::size_t MiB = 1024 * KiB;
 /// Sizes of one reader and form: the largest, and each a half of the next.
 constexpr int Sizes = 4;
+/// A piece that is no less than any text.
+constexpr std::size_t WholeText = 64 * MiB;
 /// A measurement that took longer ends its row, whose next would take twice or
 /// four times as long.
 constexpr double LongMeasurementSeconds = 2;
@@ -48,14 +53,6 @@
   std::function<std::string(const std::string &)> Encode;
 };
 
-/// Processor time of this thread.
-double threadSeconds() {
-  timespec Time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
-  return static_cast<double>(Time.tv_sec) +
-         static_cast<double>(Time.tv_nsec) / 1e9;
-}
-
 std::string chunked(const std::string &Body) {
   std::string Text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   Text.reserve(Text.size() + 6 * Body.size());
@@ -166,6 +163,34 @@
            chunked}};
 }
 
+/// A reader of whole texts.
+std::function<bytes_function()>
+wholeText(const std::function<void(const std::string &)> &Read) {
+  return [Read] {
+    return [Read](std::string_view Text) { Read(std::string(Text)); };
+  };
+}
+
+std::vector<reader> fileReaders() {
+  // Short enough that the limits of a text let all of it be read.
+  return {{"parseJson",
+           256 * KiB,
+           {{"numbers", "0,"},
+            {"objects", "{},"},
+            {"members", R"({"name":"a","x":0},)"}},
+           {WholeText},
+           wholeText([](const auto &Text) { (void)parseJson(Text); }),
+           [](const std::string &Parts) { return "[" + Parts + "0]"; }},
+          {"parseSettings",
+           32 * KiB,
+           {{"keys with dots", "a.a.a.a"}, {"comments", "# c\n"}},
+           {WholeText},
+           wholeText([](const auto &Text) {
+             (void)settings::parseSettings(Text, "local.conf");
+           }),
+           nullptr}};
+}
+
 void printRow(const reader &Reader, const tests::event_form &Form,
               std::size_t Piece, std::size_t Size, double Seconds,
               const tests::heap_use &Heap) {
@@ -236,7 +261,8 @@
 /// Usage: bench_pieces [READER]
 int main(int Argc, char **Argv) {
   const std::string_view Wanted = Argc > 1 ? Argv[1] : "";
-  for (const auto &Readers : {streamReaders(), messageReaders()}) {
+  for (const auto &Readers :
+       {streamReaders(), messageReaders(), fileReaders()}) {
     for (const auto &Reader : Readers) {
       if (!Wanted.empty() && !Reader.Name.starts_with(Wanted)) {
         continue;
