--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -265,7 +265,7 @@
   }
 
   /// Starts the next write unless one is running. RESTinio keeps an entry of
-  /// some 270 bytes for each write that waits, and moves all of them when one
+  /// over 200 bytes for each write that waits, and moves all of them when one
   /// is done, so only one at a time is given to it.
   void writeWaiting() {
     if (WritingBytes != 0 || Waiting.empty()) {
--- a/tests/memory/test_unsent_stream.cpp
+++ b/tests/memory/test_unsent_stream.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 // Guards against a stream of tiny events whose caller does not read: each event
-// took some 270 bytes, of which three were counted.
+// took over 200 bytes, of which three were counted.
 TEST_CASE("the memory of a stream is in proportion to its unsent bytes") {
   asio::io_context Io;
   const auto Port = tests::freePort();
