--- a/bench/pieces.cpp
+++ b/bench/pieces.cpp
@@ -76,6 +76,18 @@
   return [Answer](std::string_view Bytes) { Answer->Parser.read(Bytes); };
 }
 
+bytes_function beginFrames() {
+  auto Stream = std::make_shared<net::frame_stream>();
+  return [Stream](std::string_view Bytes) {
+    (void)net::feedFrames(*Stream, Bytes, [](auto) {});
+  };
+}
+
+/// A frame without its last bytes, so that it never becomes whole.
+std::string unfinishedFrame(const std::string &Bytes) {
+  return net::withLength(Bytes).substr(0, Bytes.size());
+}
+
 std::vector<reader> streamReaders() {
   return {{"event_splitter",
            256 * KiB,
@@ -120,26 +132,14 @@
            8 * MiB - KiB,
            {{"one frame", "x"}},
            {1, 1448, 64 * KiB},
-           [] {
-             auto Stream = std::make_shared<net::frame_stream>();
-             return [Stream](std::string_view Bytes) {
-               (void)net::feedFrames(*Stream, Bytes, [](auto) {});
-             };
-           },
-           [](const std::string &Bytes) {
-             return net::withLength(Bytes).substr(0, Bytes.size());
-           }},
+           beginFrames,
+           unfinishedFrame},
           {"feedFrames",
            8 * MiB,
            {{"empty frames", std::string(4, '\0')},
             {"frames of a byte", std::string("\1\0\0\0x", 5)}},
            {1, 1448, 64 * KiB},
-           [] {
-             auto Stream = std::make_shared<net::frame_stream>();
-             return [Stream](std::string_view Bytes) {
-               (void)net::feedFrames(*Stream, Bytes, [](auto) {});
-             };
-           },
+           beginFrames,
            nullptr},
           {"answer_parser, head",
            32 * KiB,
