--- a/bench/http_pieces.cpp
+++ b/bench/http_pieces.cpp
@@ -72,7 +72,8 @@
   }
 }
 
-struct measured {
+/// What is measured: a request and its answer.
+struct http_case {
   std::string Name;
   std::size_t MaxBytes;
   /// What the caller sends for a number of bytes.
@@ -107,7 +108,7 @@
   Exchange.endStream();
 }
 
-const std::array<measured, 5> Cases = {{
+const std::array<http_case, 5> Cases = {{
     {"head, one field in pieces of a byte", 32 * KiB,
      [](std::size_t Bytes) {
        return "GET / HTTP/1.1\r\nName: " + std::string(Bytes, 'x') + "\r\n\r\n";
@@ -135,7 +136,7 @@
 }};
 
 /// Returns the processor time of the event loop for one request.
-double loopSeconds(const measured &Case, std::size_t Bytes,
+double loopSeconds(const http_case &Case, std::size_t Bytes,
                    std::uint16_t Port) {
   asio::io_context Io;
   body_memory Bodies(64 * KiB * KiB);
