--- a/tests/net/test_event_buffer.cpp
+++ b/tests/net/test_event_buffer.cpp
@@ -50,6 +50,22 @@
   }
 }
 
+// Guards against events that depend on the pieces in which a stream arrives.
+TEST_CASE("a stream has the same events in one piece and in many") {
+  constexpr std::size_t StreamBytes = 1000;
+  for (const auto &Form : tests::EventForms) {
+    const auto Bytes = tests::repeated(Form.Part, StreamBytes);
+    event_buffer AtOnce;
+    const auto Expected = eventsOf(AtOnce, Bytes, StreamBytes);
+    for (const std::size_t PieceBytes : {1, 2, 3, 7, 64}) {
+      CAPTURE(Form.Name, PieceBytes);
+      event_buffer Buffer;
+      CHECK(eventsOf(Buffer, Bytes, PieceBytes) == Expected);
+      CHECK(Buffer.partial() == AtOnce.partial());
+    }
+  }
+}
+
 // Guards against bytes of a dropped event that are joined with the next one.
 TEST_CASE("a dropped event leaves nothing behind") {
   event_buffer Buffer;
